--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# make demo: sets up, runs the whole path on the stand-ins and prints what happened.
+# make test: sets up, checks format and style, runs all tests.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup demo test lint
+
+setup: $(VENV)/.done
+
+$(VENV)/.done: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[test,bench]'
+	touch $@
+
+demo: setup
+	$(BIN)/python -m bench.demo
+
+lint: setup
+	$(BIN)/black --check --quiet rosemarypath standins bench tests
+	$(BIN)/isort --check --quiet rosemarypath standins bench tests
+	$(BIN)/flake8 rosemarypath standins bench tests
+
+test: lint
+	$(BIN)/python -m pytest
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,6 @@
+"""
+bench
+~~~~~
+
+Starts fleets of daemons and stand-ins, loads them and measures what they do.
+"""
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,375 @@
+"""
+bench.fleet
+~~~~~~~~~~~
+
+A whole fleet on one machine: stand-ins and daemons as separate processes.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import yaml
+
+from rosemarypath.rules import format_rule
+
+__all__ = ["Fleet", "FleetPlan", "free_ports"]
+
+READY_SECONDS = 30.0
+STOP_SECONDS = 30.0
+HOST = "127.0.0.1"
+OPERATOR = "the fleet's plan"
+
+
+def free_ports(count):
+    """Return `count` loopback ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for opened in sockets:
+            opened.bind((HOST, 0))
+        return [opened.getsockname()[1] for opened in sockets]
+    finally:
+        for opened in sockets:
+            opened.close()
+
+
+@dataclass(frozen=True)
+class FleetPlan:
+    """
+    The shape of a fleet.
+
+    Options:
+
+    `machines`, `engines`, `services`
+        How many daemons and back ends there are.
+    `zones`
+        Names of the zones, over which all are dealt.
+    `adapters`
+        How many adapters there are, named ``a0``, ``a1`` and so on.
+    `customers`
+        Maps each customer to the options of its rule.
+    `engine_options`, `engine_rule`
+        Options of the engines' processes, and of their rules.
+    """
+
+    machines: int = 2
+    engines: int = 2
+    services: int = 1
+    zones: tuple = ("zone-a", "zone-b")
+    adapters: int = 4
+    customers: dict = field(default_factory=dict)
+    engine_options: dict = field(default_factory=dict)
+    engine_rule: dict = field(default_factory=dict)
+    weight_rate: float = 4.0
+    policy: str = "fair"
+    timing: dict = field(default_factory=dict)
+    deadline: float = 30.0
+
+
+class Fleet:
+    """
+    Processes of one fleet, with their files in `directory`.
+
+    `plan` is its `FleetPlan`. Use it as a context manager.
+    """
+
+    def __init__(self, plan, directory):
+        self._directory = Path(directory)
+        self._directory.mkdir(parents=True, exist_ok=True)
+        self._processes = {}
+        self._commands = {}
+        self.plan = plan
+        self.addresses = {}
+        self.secrets = {}
+        self.extra_rules = []
+
+    def __enter__(self):
+        self.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self.stop()
+
+    @property
+    def machine_names(self):
+        """Return the names of the entry machines."""
+        return [f"entry-{number}" for number in range(1, self.plan.machines + 1)]
+
+    @property
+    def engine_names(self):
+        """Return the names of the engines."""
+        return [f"engine-{number}" for number in range(1, self.plan.engines + 1)]
+
+    @property
+    def service_names(self):
+        """Return the names of the plain services' replicas."""
+        return [f"service-{number}" for number in range(1, self.plan.services + 1)]
+
+    @property
+    def histories(self):
+        """Return the paths of all event histories."""
+        return sorted(self._directory.glob("*.jsonl"))
+
+    def zone_of(self, name):
+        """Return the zone of a machine or a back end."""
+        number = int(name.rsplit("-", 1)[1])
+        return self.plan.zones[(number - 1) % len(self.plan.zones)]
+
+    def callers_address(self, name):
+        """Return where callers reach a machine."""
+        return self.addresses[name]
+
+    def operators_address(self, name):
+        """Return where operators reach a machine."""
+        return self.addresses[f"{name}/operators"]
+
+    def start(self):
+        """Start the stand-ins, put the rules in force, start the daemons."""
+        self._choose_addresses()
+        self.start_stand_ins()
+        rules = self._directory / "fleet.rules"
+        rules.write_text("\n".join([*self.rules(), *self.extra_rules]) + "\n")
+        self.cli("apply", str(rules), "--object-api", self.addresses["object-api"])
+        for name in self.machine_names:
+            self.start_machine(name)
+        for name in self.machine_names:
+            self.wait_ready(name)
+
+    def stop(self):
+        """End all processes, the daemons before what they depend on."""
+        stand_ins = [n for n in self._processes if n not in self.machine_names]
+        for names in (self.machine_names, stand_ins):
+            self._end([n for n in names if n in self._processes])
+
+    def _end(self, names):
+        for name in names:
+            if self._processes[name].poll() is None:
+                self.resume(name)
+                self._processes[name].terminate()
+        deadline = time.monotonic() + STOP_SECONDS
+        for name in names:
+            process = self._processes[name]
+            try:
+                process.wait(max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+            process.stdout.close()
+
+    def start_stand_ins(self):
+        """Start the object API, the weight store and all back ends."""
+        self._spawn_stand_in("object-api", "objectapi")
+        rate = ["--rate", str(self.plan.weight_rate)]
+        self._spawn_stand_in("weight-store", "weightstore", rate)
+        for name in self.engine_names:
+            self.start_engine(name)
+        for name in self.service_names:
+            self._spawn_stand_in(name, "service")
+        for name in ["object-api", "weight-store", *self.back_end_names()]:
+            self.wait_ready(name)
+
+    def back_end_names(self):
+        """Return the names of all back ends."""
+        return [*self.engine_names, *self.service_names]
+
+    def start_engine(self, name):
+        """Start one engine."""
+        words = ["--weight-store", self.addresses["weight-store"]]
+        for option, value in self.plan.engine_options.items():
+            words += [f"--{option}", str(value)]
+        self._spawn_stand_in(name, "engine", words)
+
+    def start_machine(self, name):
+        """Start the daemon of one machine."""
+        path = self._directory / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(self._settings(name)))
+        words = ["-m", "rosemarypath.daemon", "--settings", str(path)]
+        self._spawn(name, [sys.executable, *words])
+
+    def kill(self, name):
+        """End a process at once, as a crash does."""
+        self._processes[name].kill()
+        self._processes[name].wait()
+
+    def terminate(self, name):
+        """Ask a process to stop gracefully; return its `Popen`."""
+        self._processes[name].terminate()
+        return self._processes[name]
+
+    def pause(self, name):
+        """Freeze a process."""
+        self._processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name):
+        """Let a frozen process go on."""
+        self._processes[name].send_signal(signal.SIGCONT)
+
+    def process(self, name):
+        """Return the `Popen` of a process."""
+        return self._processes[name]
+
+    def fault(self, name, **switches):
+        """Set switches of a stand-in."""
+        self.post(self.addresses[name], "/faults", switches)
+
+    def post(self, address, path, document):
+        """Send JSON; return the parsed answer."""
+        request = urllib.request.Request(
+            f"http://{address}{path}",
+            data=json.dumps(document).encode(),
+            headers={"Content-Type": "application/json"},
+            method="POST",
+        )
+        with urllib.request.urlopen(request, timeout=5) as response:
+            return json.loads(response.read())
+
+    def get(self, address, path):
+        """Return the parsed JSON at `path`."""
+        with urllib.request.urlopen(f"http://{address}{path}", timeout=5) as response:
+            return json.loads(response.read())
+
+    def status(self, name):
+        """Return the status of a machine, or ``None`` when it does not answer."""
+        try:
+            return self.get(self.operators_address(name), "/status")
+        except (OSError, urllib.error.URLError):
+            return None
+
+    def wait_in_standing(self, timeout=20.0):
+        """Wait until all running machines own their share; raises `TimeoutError`."""
+        deadline = time.monotonic() + timeout
+        while time.monotonic() < deadline:
+            if self._is_settled():
+                return
+            time.sleep(0.1)
+        raise TimeoutError("the machines did not come into standing")
+
+    def cli(self, *words):
+        """Run the command-line tool; return the completed process."""
+        return subprocess.run(
+            [sys.executable, "-m", "rosemarypath.cmdline", *words],
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+
+    def rules(self):
+        """Return the lines of the rules file."""
+        plan = self.plan
+        lines = [format_rule("zone", zone, {}, OPERATOR) for zone in plan.zones]
+        limits = {"loads_per_second": plan.weight_rate, "in_flight": 8}
+        lines.append(format_rule("weight-store", "store", limits, OPERATOR))
+        lines += [self._back_end_rule(name) for name in self.back_end_names()]
+        lines += self._customer_rules()
+        lines += self._adapter_rules()
+        return lines
+
+    def _back_end_rule(self, name):
+        options = {"address": self.addresses[name], "zone": self.zone_of(name)}
+        if name in self.engine_names:
+            options.update(kind="engine", serves="base", **self.plan.engine_rule)
+        else:
+            options.update(kind="service", serves="ledger", capacity=64)
+            options.update(cold_capacity=64)
+        return format_rule("backend", name, options, OPERATOR)
+
+    def _customer_rules(self):
+        from rosemarypath.customer import hash_key, new_key
+
+        lines = []
+        for customer, options in self.plan.customers.items():
+            lines.append(format_rule("customer", customer, options, OPERATOR))
+            self.secrets[customer] = new_key()
+            values = {
+                "digest": hash_key(self.secrets[customer]),
+                "customer": customer,
+            }
+            lines.append(format_rule("key", f"{customer}-1", values, OPERATOR))
+        return lines
+
+    def _adapter_rules(self):
+        lines = []
+        customers = list(self.plan.customers)
+        for number in range(self.plan.adapters):
+            values = {"model": "base", "version": "1"}
+            lines.append(format_rule("adapter", f"a{number}", values, OPERATOR))
+            values = {
+                "adapter": f"a{number}",
+                "customer": customers[number % len(customers)],
+                "idempotent": "yes",
+                "deadline": self.plan.deadline,
+            }
+            lines.append(format_rule("route", f"a{number}", values, OPERATOR))
+        if self.plan.services:
+            for customer in customers:
+                values = {
+                    "service": "ledger",
+                    "customer": customer,
+                    "claim": "yes",
+                    "deadline": self.plan.deadline,
+                }
+                lines.append(
+                    format_rule("route", f"dispatch-{customer}", values, OPERATOR)
+                )
+        return lines
+
+    def _choose_addresses(self):
+        names = ["object-api", "weight-store", *self.back_end_names()]
+        for name in self.machine_names:
+            names += [name, f"{name}/peers", f"{name}/operators"]
+        for name, port in zip(names, free_ports(len(names))):
+            self.addresses[name] = f"{HOST}:{port}"
+
+    def _settings(self, name):
+        return {
+            "machine": name,
+            "zone": self.zone_of(name),
+            "callers_address": self.addresses[name],
+            "peers_address": self.addresses[f"{name}/peers"],
+            "operators_address": self.addresses[f"{name}/operators"],
+            "object_api": self.addresses["object-api"],
+            "history": str(self._directory / f"{name}.jsonl"),
+            "policy": self.plan.policy,
+            "timing": dict(self.plan.timing),
+        }
+
+    def _spawn_stand_in(self, name, module, words=()):
+        base = [sys.executable, "-m", f"standins.{module}"]
+        base += ["--listen", self.addresses[name], "--name", name]
+        base += ["--history", str(self._directory / f"{name}.jsonl")]
+        self._spawn(name, [*base, *words])
+
+    def _spawn(self, name, command):
+        log = open(self._directory / f"{name}.log", "ab")
+        self._commands[name] = command
+        self._processes[name] = subprocess.Popen(
+            command,
+            stdout=subprocess.PIPE,
+            stderr=log,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+        log.close()
+
+    def wait_ready(self, name):
+        """Wait until a process says that it is ready; raises `RuntimeError`."""
+        line = self._processes[name].stdout.readline()
+        if line.strip() != b"ready":
+            log = (self._directory / f"{name}.log").read_text()
+            raise RuntimeError(f"{name} did not start: {log[-2000:]}")
+
+    def _is_settled(self):
+        running = [n for n in self.machine_names if self._processes[n].poll() is None]
+        statuses = [self.status(name) for name in running]
+        if not all(s is not None and s["in_standing"] for s in statuses):
+            return False
+        owned = {b["name"] for s in statuses for b in s["back_ends"]}
+        same_barrier = all(s["barrier"] == s["roster_revision"] for s in statuses)
+        return same_barrier and owned >= set(self.back_end_names())
--- /dev/null
+++ b/rosemarypath/__init__.py
@@ -0,0 +1,10 @@
+"""
+rosemarypath
+~~~~~~~~~~~~
+
+A serving layer for very many LoRA adapters.
+"""
+
+__all__ = ["__version__"]
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/rosemarypath/applying.py
@@ -0,0 +1,171 @@
+"""
+rosemarypath.applying
+~~~~~~~~~~~~~~~~~~~~~
+
+Changes the configuration in the object API, against a known revision only.
+"""
+
+import asyncio
+import re
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from rosemarypath.configuration import compare, split_into_shards
+from rosemarypath.errors import ConflictError, RosemarypathError
+from rosemarypath.rules import parse_line
+from rosemarypath.spread import FLEET, MANIFEST, SHARDS, read_configuration
+
+__all__ = [
+    "Adoption",
+    "change_rule",
+    "read_adoption",
+    "read_header",
+    "read_rules",
+    "set_option",
+    "store_rules",
+    "with_header",
+]
+
+HEADER = re.compile(r"^# based on revision (\d+)\s*$", re.MULTILINE)
+PARALLEL_WRITES = 16
+CHANGE_TRIES = 10
+CALL_SECONDS = 2.0
+
+
+@dataclass(frozen=True)
+class Adoption:
+    """
+    How far the daemons are.
+
+    `accepted` is the revision that all have adopted, `behind` maps the identities
+    that are behind to the revision they have.
+    """
+
+    accepted: int
+    behind: dict
+
+
+def read_header(text):
+    """
+    Return the revision that a rules file is based on; ``None`` without a header.
+
+    >>> read_header("# based on revision 7\\n")
+    7
+    """
+    match = HEADER.search(text)
+    return int(match[1]) if match else None
+
+
+def with_header(text, revision):
+    """Return the text of a rules file, based on `revision`."""
+    line = f"# based on revision {revision}"
+    if HEADER.search(text):
+        return HEADER.sub(line, text, count=1)
+    return f"{line}\n{text}"
+
+
+async def read_rules(store):
+    """Return ``(configuration, version)`` in the object API."""
+    return await read_configuration(store)
+
+
+async def store_rules(store, rules, base_revision):
+    """
+    Store `rules` as the revision after `base_revision`; return ``(revision, changes)``.
+
+    Raises `ConflictError` when another revision is in force. Nothing is in force
+    before the manifest, which is written last.
+    """
+    current, version = await read_configuration(store)
+    if current.revision != base_revision:
+        raise ConflictError(
+            f"revision {current.revision} is in force, not {base_revision}",
+            "run 'rosemarypath plan', merge the difference and apply again",
+        )
+    changes = compare(current.all_rules(), rules)
+    if not changes:
+        return current.revision, changes
+    shards, contents = split_into_shards(rules)
+    await _store_contents(store, contents, set(current.rules))
+    revision = current.revision + 1
+    spec = {"revision": revision, "shards": shards}
+    if version:
+        await store.update(FLEET, MANIFEST, spec, version)
+    else:
+        await store.create(FLEET, MANIFEST, spec)
+    return revision, changes
+
+
+async def _store_contents(store, contents, known):
+    limit = asyncio.Semaphore(PARALLEL_WRITES)
+
+    async def write(digest):
+        async with limit:
+            try:
+                await store.create(SHARDS, digest, contents[digest])
+            except ConflictError:
+                return
+
+    await asyncio.gather(*(write(d) for d in contents if d not in known))
+
+
+async def change_rule(store, kind, name, change):
+    """
+    Change one rule in force; return ``(revision, line)``.
+
+    ``change(line)`` gets the present line, or ``None``, and returns the new one. It
+    is tried again when another operator was faster.
+    """
+    for _ in range(CHANGE_TRIES):
+        current, _ = await read_configuration(store)
+        rules = {(rule.kind, rule.name): rule for rule in current.all_rules()}
+        present = rules.get((kind, name))
+        line = change(present.text if present is not None else None)
+        rules[(kind, name)] = parse_line(line)
+        try:
+            revision, _ = await store_rules(
+                store, list(rules.values()), current.revision
+            )
+            return revision, line
+        except ConflictError:
+            continue
+    raise ConflictError("other operators kept changing the rules", "try again")
+
+
+def set_option(line, option, value, asked_by):
+    """
+    Return a rule's `line` with one option set, asked for by `asked_by`.
+
+    >>> set_option("zone z accepting=no # asked by A", "accepting", "yes", "B")
+    'zone z accepting=yes # asked by B'
+    """
+    body = line[: line.rindex("#")].split()
+    words = [word for word in body if not word.startswith(f"{option}=")]
+    words.append(f"{option}={value}")
+    head, options = words[:2], sorted(words[2:])
+    return " ".join([*head, *options, "# asked by", asked_by])
+
+
+async def read_adoption(daemon_address, revision):
+    """Return the `Adoption` as told by a daemon's operators' address."""
+    url = f"http://{daemon_address}/adoption"
+    timeout = aiohttp.ClientTimeout(total=CALL_SECONDS)
+    try:
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            async with session.get(url) as response:
+                document = msgspec.json.decode(await response.read())
+    except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+        raise RosemarypathError(
+            f"{daemon_address} does not answer ({error!r})", "name another --daemon"
+        ) from error
+    if response.status != 200:
+        raise RosemarypathError(document["error"], "wait or name another --daemon")
+    fenced = set(document["fenced"])
+    behind = {
+        identity: revisions[1]
+        for identity, revisions in document["adopted"].items()
+        if identity not in fenced and revisions[1] < revision
+    }
+    return Adoption(document["accepted"], behind)
--- /dev/null
+++ b/rosemarypath/budgetclient.py
@@ -0,0 +1,90 @@
+"""
+rosemarypath.budgetclient
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The entry daemon's side of budgets: reserves tokens before a request runs.
+"""
+
+import asyncio
+import time
+
+from rosemarypath.budget import GRANT_LIFETIME
+from rosemarypath.messages import GrantAsk, Settle
+from rosemarypath.outcome import NotRun
+from rosemarypath.owners import budget_resource
+
+__all__ = ["BudgetClient"]
+
+ASK_TIMEOUT = 0.3
+RETRY_SECONDS = 0.02
+LONGEST_WAIT = 2.0
+SETTLE_TRIES = 5
+
+
+class BudgetClient:
+    """
+    Reservations of this daemon.
+
+    `membership` and `mesh` are the daemon's parts.
+    """
+
+    def __init__(self, membership, mesh):
+        self._membership = membership
+        self._mesh = mesh
+        self._tasks = set()
+        self._number = 0
+
+    async def reserve(self, customer, request, tokens, until):
+        """
+        Return the reservation's name, or a `NotRun` that says when to come back.
+
+        Waits for at most two seconds and never beyond the time `until`.
+        """
+        until = min(until, time.monotonic() + LONGEST_WAIT)
+        while True:
+            asked_at = time.monotonic()
+            self._number += 1
+            reservation = f"{request}/{self._number}"
+            reply = await self._ask(GrantAsk(customer, reservation, tokens))
+            now = time.monotonic()
+            if reply is not None and reply.granted:
+                if now - asked_at <= GRANT_LIFETIME:
+                    return reservation
+                self.settle(customer, reservation, 0)
+                continue
+            if reply is None:
+                self.settle(customer, reservation, 0)
+            wait = reply.wait if reply is not None else 0.0
+            if wait == float("inf"):
+                return NotRun(
+                    429,
+                    "larger_than_burst",
+                    f"{tokens} tokens are more than the customer's burst allows",
+                )
+            if now + max(wait, RETRY_SECONDS) > until:
+                if reply is None or not reply.owned:
+                    return NotRun(
+                        503, "budget_unavailable", "the budget has no owner now", 1.0
+                    )
+                return NotRun(
+                    429, "rate_limited", "the customer is over its rate", wait
+                )
+            await asyncio.sleep(max(wait, RETRY_SECONDS))
+
+    def settle(self, customer, reservation, used):
+        """Give back what `reservation` did not use."""
+        task = asyncio.create_task(self._settle(Settle(customer, reservation, used)))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, message):
+        owner = self._membership.ownership.owner_of(budget_resource(message.customer))
+        if owner is None:
+            return None
+        return await self._mesh.ask(owner, message, ASK_TIMEOUT)
+
+    async def _settle(self, message):
+        for _ in range(SETTLE_TRIES):
+            if await self._ask(message) is not None:
+                return
+            await asyncio.sleep(RETRY_SECONDS)
--- /dev/null
+++ b/rosemarypath/commands/__init__.py
@@ -0,0 +1,193 @@
+"""
+rosemarypath.commands
+~~~~~~~~~~~~~~~~~~~~~
+
+The commands of the operators' tool, filled into a registry by a decorator.
+"""
+
+import asyncio
+import sys
+
+import aiohttp
+import msgspec
+
+from rosemarypath.errors import RosemarypathError
+from rosemarypath.store import StoreClient
+
+__all__ = [
+    "Command",
+    "CommandContext",
+    "command",
+    "get_command_by_name",
+    "known_commands",
+]
+
+_commands = {}
+CALL_SECONDS = 5.0
+
+
+def command(name):
+    """Register a class as the command `name`."""
+
+    def register(cls):
+        cls.name = name
+        _commands[name] = cls
+        return cls
+
+    return register
+
+
+def _load_all():
+    from rosemarypath.commands import (  # noqa: F401
+        fleet,
+        keys,
+        reporting,
+        rules,
+        zones,
+    )
+
+
+def get_command_by_name(name):
+    """Return the command class called `name`; raises `KeyError`."""
+    _load_all()
+    return _commands[name]
+
+
+def known_commands():
+    """
+    Return the names of all commands.
+
+    >>> "apply" in known_commands()
+    True
+    """
+    _load_all()
+    return sorted(_commands)
+
+
+class Command:
+    """
+    Base of the commands.
+
+    The first line of the docstring of a command is its help text.
+    """
+
+    name = ""
+
+    @classmethod
+    def add_arguments(cls, parser):
+        """Add the command's arguments to its `parser`."""
+
+    async def run(self, context, options):
+        """Run the command; return its exit code."""
+        raise NotImplementedError
+
+
+class CommandContext:
+    """
+    What commands share: the object API, the daemons and the output.
+
+    Options:
+
+    `object_api`
+        ``host:port`` of the object API; empty when the command needs none.
+    `daemons`
+        Operators' addresses of daemons, asked in turn.
+    `as_json`
+        Whether results are printed as JSON.
+    """
+
+    def __init__(self, object_api="", daemons=(), as_json=False):
+        self._store = None
+        self._object_api = object_api
+        self._daemons = tuple(daemons)
+        self._as_json = as_json
+
+    @property
+    def daemons(self):
+        """Return the operators' addresses given."""
+        return self._daemons
+
+    @property
+    def store(self):
+        """Return the `StoreClient`."""
+        if self._store is None:
+            if not self._object_api:
+                raise RosemarypathError("no object API is named", "give --object-api")
+            self._store = StoreClient(self._object_api)
+        return self._store
+
+    @classmethod
+    def from_options(cls, options):
+        """Build the context of the parsed command line."""
+        return cls(
+            getattr(options, "object_api", ""),
+            getattr(options, "daemon", None) or (),
+            options.json,
+        )
+
+    async def close(self):
+        """Close the connections."""
+        if self._store is not None:
+            await self._store.close()
+
+    def show(self, document, lines):
+        """Print `document` as JSON, or `lines` as text."""
+        if self._as_json:
+            data = msgspec.json.format(msgspec.json.encode(document))
+            print(data.decode())
+            return
+        for line in lines:
+            print(line)
+
+    def progress(self, text):
+        """Print a line of progress to stderr."""
+        print(text, file=sys.stderr, flush=True)
+
+    async def ask_daemon(self, path):
+        """Return the JSON answer of the first daemon that gives one."""
+        problem = "no daemon is named"
+        for address in self._daemons:
+            try:
+                return await self.ask(address, path)
+            except RosemarypathError as error:
+                problem = error.message
+        raise RosemarypathError(problem, "give --daemon HOST:PORT of one that runs")
+
+    async def ask(self, address, path):
+        """Return the JSON answer of the daemon at `address`."""
+        timeout = aiohttp.ClientTimeout(total=CALL_SECONDS)
+        try:
+            async with aiohttp.ClientSession(timeout=timeout) as session:
+                async with session.get(f"http://{address}{path}") as response:
+                    body = await response.read()
+                    status = response.status
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            raise RosemarypathError(
+                f"{address} does not answer ({type(error).__name__})",
+                "check that it runs",
+            ) from error
+        document = msgspec.json.decode(body)
+        if status != 200:
+            raise RosemarypathError(
+                document.get("error", f"{address} answered {status}"),
+                "correct the name or ask another daemon",
+            )
+        return document
+
+
+def add_store_argument(parser):
+    """Add ``--object-api``."""
+    parser.add_argument(
+        "--object-api", required=True, metavar="HOST:PORT", help="the object API"
+    )
+
+
+def add_daemon_argument(parser, required=False):
+    """Add ``--daemon``."""
+    parser.add_argument(
+        "--daemon",
+        action="append",
+        required=required,
+        metavar="HOST:PORT",
+        help="operators' address of a daemon; may be repeated",
+    )
--- /dev/null
+++ b/rosemarypath/commands/fleet.py
@@ -0,0 +1,99 @@
+"""
+rosemarypath.commands.fleet
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Commands on the running fleet: status, explain and drain.
+"""
+
+from urllib.parse import quote
+
+import msgspec
+
+from rosemarypath.commands import (
+    Command,
+    add_daemon_argument,
+    add_store_argument,
+    command,
+)
+from rosemarypath.errors import NotFoundError
+from rosemarypath.machine import DRAINING, UP
+from rosemarypath.membership import ROSTER
+from rosemarypath.roster import Roster
+from rosemarypath.spread import FLEET
+
+__all__ = ["DrainCommand", "ExplainCommand", "StatusCommand"]
+
+
+@command("status")
+class StatusCommand(Command):
+    """Show the state of a daemon and what it knows of the others."""
+
+    @classmethod
+    def add_arguments(cls, parser):
+        add_daemon_argument(parser, required=True)
+
+    async def run(self, context, options):
+        status = await context.ask_daemon("/status")
+        standing = "in standing" if status["in_standing"] else "NOT in standing"
+        lines = [
+            f"{status['identity']} in {status['zone']}: {standing}",
+            f"configuration {status['configuration_revision']}, "
+            f"accepted everywhere {status['accepted_revision']}",
+            f"roster {status['roster_revision']}, barrier {status['barrier']}",
+        ]
+        for machine in status["machines"]:
+            lines.append(
+                f"  machine {machine['name']} {machine['zone']} {machine['state']}"
+            )
+        for back_end in status["back_ends"]:
+            lines.append(
+                f"  owns {back_end['name']}: {back_end['seats']} of "
+                f"{back_end['limit']} seats, {back_end['queued']} waiting, "
+                f"{len(back_end['adapters'])} adapters"
+            )
+        context.show(status, lines)
+        return 0
+
+
+@command("explain")
+class ExplainCommand(Command):
+    """Tell where a route leads, or what became of a request."""
+
+    @classmethod
+    def add_arguments(cls, parser):
+        parser.add_argument("name", help="a route, or the X-Request-Id of an answer")
+        add_daemon_argument(parser, required=True)
+
+    async def run(self, context, options):
+        document = await context.ask_daemon(f"/explain/{quote(options.name)}")
+        lines = [f"{name}: {value}" for name, value in document.items()]
+        context.show(document, lines)
+        return 0
+
+
+@command("drain")
+class DrainCommand(Command):
+    """Send no new callers to a machine, before it is stopped."""
+
+    @classmethod
+    def add_arguments(cls, parser):
+        parser.add_argument("machine")
+        parser.add_argument("--undo", action="store_true", help="send callers again")
+        add_store_argument(parser)
+
+    async def run(self, context, options):
+        stored = await context.store.get(FLEET, ROSTER)
+        roster = Roster.from_stored(stored)
+        machine = roster.machines.get(options.machine)
+        if machine is None:
+            known = ", ".join(sorted(roster.machines))
+            raise NotFoundError(
+                f"there is no machine '{options.machine}'", f"use one of: {known}"
+            )
+        state = UP if options.undo else DRAINING
+        changed = roster.with_machine(msgspec.structs.replace(machine, state=state))
+        await context.store.update(FLEET, ROSTER, changed.to_spec(), stored.version)
+        context.show(
+            {"machine": machine.name, "state": state}, [f"{machine.name}: {state}"]
+        )
+        return 0
--- /dev/null
+++ b/rosemarypath/commands/rules.py
@@ -0,0 +1,171 @@
+"""
+rosemarypath.commands.rules
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Commands on a whole rules file: check, plan, apply and show.
+"""
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+
+from rosemarypath.applying import (
+    read_adoption,
+    read_header,
+    read_rules,
+    store_rules,
+    with_header,
+)
+from rosemarypath.commands import (
+    Command,
+    add_daemon_argument,
+    add_store_argument,
+    command,
+)
+from rosemarypath.configuration import compare
+from rosemarypath.errors import RosemarypathError
+from rosemarypath.rules import parse_rules
+
+__all__ = ["ApplyCommand", "CheckCommand", "PlanCommand", "ShowCommand"]
+
+EXIT_RULES = 2
+EXIT_NOT_ACCEPTED = 3
+POLL_SECONDS = 0.1
+PROGRESS_SECONDS = 1.0
+
+
+def read_file(path):
+    """Return ``(text, rules)``; rules is ``None`` after printing every error."""
+    text = Path(path).read_text(encoding="utf-8")
+    rules, errors = parse_rules(text, path)
+    for error in errors:
+        print(error, file=sys.stderr)
+    if errors:
+        print(f"{len(errors)} errors; nothing was changed", file=sys.stderr)
+        return text, None
+    return text, rules
+
+
+def show_changes(context, revision, changes):
+    """Print the differences."""
+    signs = {"add": "+", "change": "~", "remove": "-"}
+    document = {
+        "revision": revision,
+        "changes": [
+            {"action": c.action, "kind": c.kind, "name": c.name} for c in changes
+        ],
+    }
+    lines = [f"{signs[c.action]} {c.after or c.before}" for c in changes]
+    lines.append(f"{len(changes)} changes; revision {revision}")
+    context.show(document, lines)
+
+
+async def wait_until_accepted(context, revision, timeout):
+    """Wait until every daemon has `revision`; return whether they do."""
+    deadline = time.monotonic() + timeout
+    told_at = time.monotonic()
+    while time.monotonic() < deadline:
+        for address in context.daemons:
+            try:
+                adoption = await read_adoption(address, revision)
+            except RosemarypathError as error:
+                context.progress(str(error))
+                continue
+            if adoption.accepted >= revision:
+                return True
+            if time.monotonic() - told_at > PROGRESS_SECONDS:
+                told_at = time.monotonic()
+                context.progress(f"waiting for {', '.join(sorted(adoption.behind))}")
+            break
+        await asyncio.sleep(POLL_SECONDS)
+    return False
+
+
+@command("check")
+class CheckCommand(Command):
+    """Check a rules file and report every error."""
+
+    @classmethod
+    def add_arguments(cls, parser):
+        parser.add_argument("file")
+
+    async def run(self, context, options):
+        _, rules = read_file(options.file)
+        if rules is None:
+            return EXIT_RULES
+        context.show({"rules": len(rules)}, [f"{len(rules)} rules are good"])
+        return 0
+
+
+@command("plan")
+class PlanCommand(Command):
+    """Show what applying a rules file would change."""
+
+    @classmethod
+    def add_arguments(cls, parser):
+        parser.add_argument("file")
+        add_store_argument(parser)
+
+    async def run(self, context, options):
+        _, rules = read_file(options.file)
+        if rules is None:
+            return EXIT_RULES
+        current, _ = await read_rules(context.store)
+        show_changes(context, current.revision, compare(current.all_rules(), rules))
+        return 0
+
+
+@command("apply")
+class ApplyCommand(Command):
+    """Put a rules file in force and wait until every daemon has it."""
+
+    @classmethod
+    def add_arguments(cls, parser):
+        parser.add_argument("file")
+        parser.add_argument(
+            "--from-revision",
+            type=int,
+            metavar="N",
+            help="the revision the file is based on, if it has no header",
+        )
+        parser.add_argument(
+            "--timeout", type=float, default=30.0, help="seconds to wait (default 30)"
+        )
+        add_store_argument(parser)
+        add_daemon_argument(parser)
+
+    async def run(self, context, options):
+        text, rules = read_file(options.file)
+        if rules is None:
+            return EXIT_RULES
+        base = options.from_revision
+        if base is None:
+            base = read_header(text) or 0
+        revision, changes = await store_rules(context.store, rules, base)
+        Path(options.file).write_text(with_header(text, revision), encoding="utf-8")
+        show_changes(context, revision, changes)
+        if not context.daemons:
+            return 0
+        if not await wait_until_accepted(context, revision, options.timeout):
+            context.progress("stored, but not yet in force everywhere")
+            return EXIT_NOT_ACCEPTED
+        context.progress(f"revision {revision} is in force everywhere")
+        return 0
+
+
+@command("show")
+class ShowCommand(Command):
+    """Print the rules in force, as a file to edit and apply."""
+
+    @classmethod
+    def add_arguments(cls, parser):
+        add_store_argument(parser)
+
+    async def run(self, context, options):
+        current, _ = await read_rules(context.store)
+        lines = [rule.text for rule in current.all_rules()]
+        header = f"# based on revision {current.revision}"
+        document = {"revision": current.revision, "rules": lines}
+        context.show(document, [header, *lines])
+        return 0
--- /dev/null
+++ b/rosemarypath/configuration.py
@@ -0,0 +1,211 @@
+"""
+rosemarypath.configuration
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The configuration in force: rules in content-addressed shards under one manifest.
+"""
+
+import hashlib
+from dataclasses import dataclass, field
+
+import msgspec
+import xxhash
+
+from rosemarypath.backend import ENGINE, SERVICE
+from rosemarypath.rules import parse_line
+from rosemarypath.weights import WeightStoreLimits
+
+__all__ = ["Change", "Configuration", "Manifest", "compare", "split_into_shards"]
+
+SHARD_COUNT = 256
+DIGEST_LENGTH = 32
+
+
+class Manifest(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    One revision of the configuration.
+
+    `shards` maps each shard's number, as text, to the hash of its content.
+    """
+
+    revision: int = 0
+    shards: dict[str, str] = {}
+
+
+@dataclass(frozen=True)
+class Change:
+    """One difference between two sets of rules; `action` is add, change or remove."""
+
+    action: str
+    kind: str
+    name: str
+    before: str = ""
+    after: str = ""
+
+
+def _shard_number(kind, name):
+    return xxhash.xxh32_intdigest(f"{kind} {name}".encode()) % SHARD_COUNT
+
+
+def _digest_of(texts):
+    return hashlib.sha256("\n".join(texts).encode()).hexdigest()[:DIGEST_LENGTH]
+
+
+def split_into_shards(rules):
+    """
+    Return ``(shards, contents)`` for `rules`.
+
+    `shards` maps shard numbers to hashes, `contents` maps hashes to lists of lines.
+    """
+    lines = {}
+    for rule in rules:
+        lines.setdefault(_shard_number(rule.kind, rule.name), []).append(rule.text)
+    shards = {}
+    contents = {}
+    for number, texts in lines.items():
+        texts.sort()
+        digest = _digest_of(texts)
+        shards[str(number)] = digest
+        contents[digest] = texts
+    return shards, contents
+
+
+def compare(old_rules, new_rules):
+    """Return the list of `Change` that leads from `old_rules` to `new_rules`."""
+    old = {(rule.kind, rule.name): rule.text for rule in old_rules}
+    new = {(rule.kind, rule.name): rule.text for rule in new_rules}
+    changes = []
+    for identity in sorted(old.keys() | new.keys()):
+        before = old.get(identity, "")
+        after = new.get(identity, "")
+        if before == after:
+            continue
+        action = "change"
+        if not before:
+            action = "add"
+        elif not after:
+            action = "remove"
+        changes.append(Change(action, *identity, before, after))
+    return changes
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """
+    An immutable view of all rules at one revision.
+
+    Options:
+
+    `manifest`
+        The revision and its shards (default: revision 0, no shards).
+    `rules`
+        Maps a shard's hash to the rules in it.
+    """
+
+    manifest: Manifest = Manifest()
+    rules: dict = field(default_factory=dict)
+    customers: dict = field(default_factory=dict)
+    keys: dict = field(default_factory=dict)
+    adapters: dict = field(default_factory=dict)
+    routes: dict = field(default_factory=dict)
+    back_ends: dict = field(default_factory=dict)
+    zones: dict = field(default_factory=dict)
+    weight_store: WeightStoreLimits = WeightStoreLimits(name="default")
+
+    @property
+    def revision(self):
+        """Return the manifest's revision."""
+        return self.manifest.revision
+
+    @classmethod
+    def from_contents(cls, manifest, contents, previous=None):
+        """
+        Build the configuration of `manifest`.
+
+        `contents` maps hashes to lists of lines; shards that `previous` already
+        parsed are taken from it. Raises `KeyError` when a shard is in neither.
+        """
+        parsed = {}
+        known = previous.rules if previous is not None else {}
+        for digest in manifest.shards.values():
+            if digest in known:
+                parsed[digest] = known[digest]
+            else:
+                parsed[digest] = tuple(parse_line(text) for text in contents[digest])
+        return cls._from_parsed(manifest, parsed)
+
+    @classmethod
+    def _from_parsed(cls, manifest, parsed):
+        tables = {
+            "customer": {},
+            "adapter": {},
+            "route": {},
+            "backend": {},
+            "zone": {},
+        }
+        keys = {}
+        weight_store = WeightStoreLimits(name="default")
+        for rules in parsed.values():
+            for rule in rules:
+                if rule.kind == "key":
+                    keys[rule.item.digest] = rule.item
+                elif rule.kind == "weight-store":
+                    weight_store = rule.item
+                else:
+                    tables[rule.kind][rule.name] = rule.item
+        return cls(
+            manifest=manifest,
+            rules=parsed,
+            customers=tables["customer"],
+            keys=keys,
+            adapters=tables["adapter"],
+            routes=tables["route"],
+            back_ends=tables["backend"],
+            zones=tables["zone"],
+            weight_store=weight_store,
+        )
+
+    def missing_shards(self, manifest):
+        """Return the hashes that `manifest` needs and this configuration lacks."""
+        return [d for d in set(manifest.shards.values()) if d not in self.rules]
+
+    def changed_shards(self, base):
+        """Return the shards that differ from those of the manifest `base`."""
+        shards = self.manifest.shards
+        numbers = shards.keys() | base.shards.keys()
+        return {
+            number: shards.get(number, "")
+            for number in numbers
+            if shards.get(number) != base.shards.get(number)
+        }
+
+    def lines_of(self, digests):
+        """Return the lines of the shards `digests`, by hash."""
+        return {
+            digest: [rule.text for rule in self.rules[digest]]
+            for digest in digests
+            if digest
+        }
+
+    def all_rules(self):
+        """Return every rule, ordered by kind and name."""
+        rules = [rule for shard in self.rules.values() for rule in shard]
+        return sorted(rules, key=lambda rule: (rule.kind, rule.name))
+
+    def engines_for(self, model):
+        """Return the engines that serve `model`, by name."""
+        return self._serving(ENGINE, model)
+
+    def services_for(self, service):
+        """Return the plain back ends that serve `service`, by name."""
+        return self._serving(SERVICE, service)
+
+    def _serving(self, kind, serves):
+        found = [
+            b for b in self.back_ends.values() if b.kind == kind and b.serves == serves
+        ]
+        return sorted(found, key=lambda back_end: back_end.name)
+
+    def zone_accepts(self, zone):
+        """Return whether operators let `zone` take new work."""
+        return zone in self.zones and self.zones[zone].accepting
--- /dev/null
+++ b/rosemarypath/daemon.py
@@ -0,0 +1,280 @@
+"""
+rosemarypath.daemon
+~~~~~~~~~~~~~~~~~~~
+
+The daemon that runs on every entry machine: puts the parts together.
+"""
+
+import argparse
+import asyncio
+import signal
+import sys
+import time
+from collections import OrderedDict
+
+from rosemarypath import __version__
+from rosemarypath.budgetclient import BudgetClient
+from rosemarypath.entry import EntryApi
+from rosemarypath.history import History
+from rosemarypath.httpserver import HttpServer
+from rosemarypath.levels import FIRST_TOKEN_SECONDS, ServiceLevels
+from rosemarypath.link import Mesh
+from rosemarypath.log import get_logger, setup_logging
+from rosemarypath.membership import Membership, new_incarnation
+from rosemarypath.metrics import Metrics
+from rosemarypath.operators import OperatorsApi
+from rosemarypath.outcome import NotRun
+from rosemarypath.owners import Owners
+from rosemarypath.placement import Placement
+from rosemarypath.policies import get_policy_by_name
+from rosemarypath.relay import Relay
+from rosemarypath.retry import RetryBudget
+from rosemarypath.seatclient import SeatClient
+from rosemarypath.settings import load_settings
+from rosemarypath.spread import ConfigurationKeeper
+from rosemarypath.store import StoreClient
+from rosemarypath.upstream import Upstream
+
+__all__ = ["Daemon", "main", "run"]
+
+STALE_SECONDS = 2.0
+KEPT_REQUESTS = 1000
+LEAVE_TIMEOUT = 5.0
+EXIT_SETTINGS = 2
+
+_log = get_logger("daemon")
+
+
+class Daemon:
+    """
+    One daemon.
+
+    `settings` are its checked `Settings`.
+    """
+
+    def __init__(self, settings):
+        self._tasks = set()
+        self._stopped = asyncio.Event()
+        self.settings = settings
+        incarnation = new_incarnation()
+        self.history = History(settings.history, settings.machine, incarnation)
+        self.metrics = Metrics(settings.statsd)
+        self.levels = ServiceLevels()
+        self.recent = OrderedDict()
+        self.store = StoreClient(settings.dial_address(settings.object_api))
+        self.mesh = Mesh(
+            f"{settings.machine}/{incarnation}",
+            settings.peers_address,
+            settings.dial_address,
+        )
+        self.keeper = ConfigurationKeeper(self._on_configuration)
+        self.membership = Membership(
+            settings,
+            self.store,
+            self.mesh,
+            self.keeper,
+            self.history,
+            self._on_release,
+            self._on_replaced,
+        )
+        self.relay = Relay(
+            self.membership,
+            self.keeper,
+            self.store,
+            self.mesh,
+            settings.timing.heartbeat,
+        )
+        self.placement = Placement(settings.zone)
+        self.seats = SeatClient(self.membership, self.mesh, self.placement)
+        self.budgets = BudgetClient(self.membership, self.mesh)
+        self.retries = RetryBudget()
+        self.upstream = Upstream(settings.timing)
+        self.entry = EntryApi(self)
+        self.owners = None
+        self._callers = HttpServer(settings.callers_address)
+        self._operators = HttpServer(settings.operators_address)
+
+    async def start(self):
+        """Join the others and serve; raises `OSError` for unusable addresses."""
+        self.upstream.start()
+        self.owners = Owners(
+            self.membership,
+            self.keeper,
+            self.relay,
+            self.mesh,
+            self.upstream.session,
+            self.settings.policy,
+            self.history,
+        )
+        await self.mesh.start()
+        await self.membership.start()
+        await self.relay.start()
+        self.owners.start()
+        self.entry.add_routes(self._callers)
+        OperatorsApi(self).add_routes(self._operators)
+        await self._callers.start()
+        await self._operators.start()
+        _log.info("serving callers at {}", self.settings.callers_address)
+
+    async def run(self):
+        """Serve until SIGTERM or SIGINT, then stop without cutting a request."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopped.set)
+        starting = asyncio.create_task(self.start())
+        stopping = asyncio.create_task(self._stopped.wait())
+        await asyncio.wait({starting, stopping}, return_when=asyncio.FIRST_COMPLETED)
+        if not starting.done():
+            starting.cancel()
+            return
+        starting.result()
+        print("ready", flush=True)
+        await stopping
+        await self.stop()
+
+    async def stop(self):
+        """Drain, let requests in flight end, and leave the roster."""
+        _log.info("draining: no new callers are sent here")
+        await self.membership.drain()
+        await asyncio.sleep(self.settings.timing.drain)
+        await self._callers.stop()
+        _log.info("all requests ended; leaving")
+        self.owners.stop()
+        self.relay.stop()
+        try:
+            async with asyncio.timeout(LEAVE_TIMEOUT):
+                await self.membership.stop()
+        except TimeoutError:
+            _log.warning("the roster could not be told; witnesses will notice")
+        await self._operators.stop(grace=1)
+        await self.upstream.close()
+        await self.store.close()
+        await self.mesh.stop()
+        self.history.write("stopped")
+        self.history.close()
+
+    def spawn(self, coroutine):
+        """Run `coroutine` in the background, keeping a reference to its task."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def refusal(self, order, now):
+        """Return why `order` may not run now, as a `NotRun`, or ``None``."""
+        if not self.membership.in_standing(now):
+            return NotRun(
+                503, "not_in_standing", "this machine is cut off; use another", 1.0
+            )
+        if self.keeper.behind_for(now) > STALE_SECONDS:
+            return NotRun(
+                503, "stale_configuration", "this machine is behind; use another", 1.0
+            )
+        configuration = self.keeper.current
+        if configuration.routes.get(order.route.name) != order.route:
+            return NotRun(503, "configuration_changed", "the route has changed", 0.1)
+        if order.key_digest:
+            key = configuration.keys.get(order.key_digest)
+            if key is None or key.withdrawn:
+                return NotRun(401, "withdrawn_key", "the key was withdrawn")
+        return None
+
+    def all_back_ends(self, route):
+        """Return every back end that `route` can lead to."""
+        configuration = self.keeper.current
+        if route.service:
+            return configuration.services_for(route.service)
+        adapter = configuration.adapters.get(route.adapter)
+        return configuration.engines_for(adapter.model) if adapter else []
+
+    def candidates(self, route, adapter, now):
+        """Return the back ends in service for `route`, the best to ask first."""
+        usable = [b for b in self.all_back_ends(route) if self.is_in_service(b.name)]
+        return self.placement.rank(adapter, usable, now)
+
+    def is_in_service(self, name):
+        """Return whether the back end `name` takes new work."""
+        back_end = self.keeper.current.back_ends.get(name)
+        if back_end is None or name in self.relay.leaving:
+            return False
+        return self.keeper.current.zone_accepts(back_end.zone)
+
+    def note_first_token(self, order, seconds, waited_for_load):
+        """Record how soon `order` was answered."""
+        self.metrics.timing("first_token", seconds)
+        self.metrics.count("served")
+        cause = ""
+        if seconds > FIRST_TOKEN_SECONDS:
+            cause = "load_stall" if waited_for_load > seconds / 2 else "queue"
+        zone = self.settings.zone
+        self.levels.add("first_token", order.customer, zone, cause, time.time())
+        self.history.write(
+            "first_byte",
+            request=order.request,
+            customer=order.customer,
+            seconds=seconds,
+            waited_for_load=waited_for_load,
+        )
+
+    def _on_configuration(self, configuration):
+        self.history.write("configuration_adopted", revision=configuration.revision)
+
+    def _on_release(self, resources):
+        if self.owners is not None:
+            self.owners.release(resources)
+
+    def _on_replaced(self):
+        _log.error("another process runs as {}; stopping", self.settings.machine)
+        self._stopped.set()
+
+
+def main(args=None):
+    """Run ``rosemarypathd``; return its exit code."""
+    parser = argparse.ArgumentParser(
+        prog="rosemarypathd",
+        description="Serve callers on this entry machine; see docs/settings.md.",
+    )
+    parser.add_argument("--settings", required=True, metavar="FILE")
+    parser.add_argument("--check", action="store_true", help="check settings and exit")
+    parser.add_argument("--version", action="version", version=__version__)
+    options = parser.parse_args(args)
+    settings, errors = load_settings(options.settings)
+    if not errors:
+        errors = _check_policy(settings)
+    for error in errors:
+        print(f"rosemarypathd: {error}", file=sys.stderr)
+    if errors:
+        return EXIT_SETTINGS
+    if options.check:
+        print("settings are good")
+        return 0
+    setup_logging(settings.log_level, settings.log_json)
+    return asyncio.run(_run_daemon(settings))
+
+
+def _check_policy(settings):
+    from rosemarypath.errors import SettingsError
+
+    try:
+        get_policy_by_name(settings.policy)
+    except KeyError:
+        message = f"policy: there is none called '{settings.policy}'"
+        return [SettingsError(message, "use 'fair' or 'baseline'")]
+    return []
+
+
+async def _run_daemon(settings):
+    try:
+        await Daemon(settings).run()
+    except OSError as error:
+        print(f"rosemarypathd: {error}; free the address or change it", file=sys.stderr)
+        return 1
+    return 0
+
+
+def run():
+    """Entry point of the console script."""
+    sys.exit(main())
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/rosemarypath/hashing.py
@@ -0,0 +1,35 @@
+"""
+rosemarypath.hashing
+~~~~~~~~~~~~~~~~~~~~
+
+Rendezvous hashing: a stable order of candidates for each resource.
+"""
+
+import xxhash
+
+from rosemarypath.zone import spread_over_zones
+
+__all__ = ["rendezvous_order", "spread_order"]
+
+
+def _score(resource, candidate):
+    return xxhash.xxh64_intdigest(f"{resource}\0{candidate}".encode())
+
+
+def rendezvous_order(resource, candidates):
+    """
+    Return `candidates` (strings) ordered for `resource`, best first.
+
+    Removing a candidate leaves the order of the others as it was.
+
+    >>> order = rendezvous_order("r", ["a", "b", "c"])
+    >>> rendezvous_order("r", order[1:]) == order[1:]
+    True
+    """
+    return sorted(candidates, key=lambda c: _score(resource, c), reverse=True)
+
+
+def spread_order(resource, items, name_of, zone_of):
+    """Return `items` in rendezvous order with neighbours in different zones."""
+    ordered = sorted(items, key=lambda i: _score(resource, name_of(i)), reverse=True)
+    return spread_over_zones(ordered, zone_of)
--- /dev/null
+++ b/rosemarypath/httpserver.py
@@ -0,0 +1,135 @@
+"""
+rosemarypath.httpserver
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Serves a blacksheep application by uvicorn inside a running asyncio loop.
+"""
+
+import asyncio
+import contextlib
+
+import msgspec
+import uvicorn
+from blacksheep import Application, Content, Request, Response
+from blacksheep.server.routing import Router
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+__all__ = ["HttpServer", "json_response", "wait_for_disconnect"]
+
+HEADER_TIMEOUT = 10.0
+KEEP_ALIVE_TIMEOUT = 30
+BACKLOG = 1024
+RECEIVE = "rosemarypath.receive"
+
+
+def json_response(status, document, headers=()):
+    """Return a `Response` with `document` encoded as JSON."""
+    pairs = [(name.encode(), value.encode()) for name, value in headers]
+    content = Content(b"application/json", msgspec.json.encode(document))
+    return Response(status, pairs, content)
+
+
+async def wait_for_disconnect(request):
+    """Return when the caller of `request`, whose body was read, has hung up."""
+    receive = request.scope[RECEIVE]
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return
+
+
+class _BoundedHeadersProtocol(HttpToolsProtocol):
+    """Closes connections whose first request header does not arrive in time."""
+
+    _header_timer = None
+
+    def connection_made(self, transport):
+        super().connection_made(transport)
+        self._header_timer = self.loop.call_later(HEADER_TIMEOUT, transport.close)
+
+    def on_headers_complete(self):
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+        super().on_headers_complete()
+
+    def connection_lost(self, exc):
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+        super().connection_lost(exc)
+
+
+class _QuietServer(uvicorn.Server):
+    """Leaves signals to the process that embeds the server."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        yield
+
+
+class HttpServer:
+    """
+    One HTTP listener.
+
+    Options:
+
+    `address`
+        ``host:port`` to listen on.
+    `application`
+        The blacksheep `Application` to serve (default: a new one).
+    """
+
+    def __init__(self, address, application=None):
+        self._host, port = address.rsplit(":", 1)
+        self._port = int(port)
+        self._server = None
+        self._task = None
+        self.application = application or Application(router=Router())
+
+    def add(self, method, path, handler):
+        """Call ``await handler(request)`` for requests with `method` and `path`."""
+
+        async def handle(request: Request):
+            return await handler(request)
+
+        self.application.router.add(method, path, handle)
+
+    async def start(self):
+        """Start to listen; raises `OSError` when the address cannot be bound."""
+        await self.application.start()
+        config = uvicorn.Config(
+            self._asgi,
+            host=self._host,
+            port=self._port,
+            loop="asyncio",
+            interface="asgi3",
+            http=_BoundedHeadersProtocol,
+            ws="none",
+            lifespan="off",
+            access_log=False,
+            log_config=None,
+            timeout_keep_alive=KEEP_ALIVE_TIMEOUT,
+            backlog=BACKLOG,
+        )
+        self._server = _QuietServer(config)
+        self._task = asyncio.create_task(self._server.serve())
+        while not self._server.started:
+            if self._task.done():
+                raise OSError(f"cannot listen on {self._host}:{self._port}")
+            await asyncio.sleep(0.005)
+
+    async def stop(self, grace=None):
+        """
+        Stop listening and wait until requests in flight ended.
+
+        `grace` bounds the wait in seconds (default: no bound).
+        """
+        if self._server is None:
+            return
+        self._server.config.timeout_graceful_shutdown = grace
+        self._server.should_exit = True
+        await self._task
+
+    async def _asgi(self, scope, receive, send):
+        scope[RECEIVE] = receive
+        await self.application(scope, receive, send)
--- /dev/null
+++ b/rosemarypath/levels.py
@@ -0,0 +1,53 @@
+"""
+rosemarypath.levels
+~~~~~~~~~~~~~~~~~~~
+
+Counts how requests met their service-level objectives, per customer and zone.
+"""
+
+from collections import defaultdict, deque
+
+__all__ = ["FIRST_TOKEN_SECONDS", "GAP_SECONDS", "ServiceLevels"]
+
+FIRST_TOKEN_SECONDS = 1.5
+GAP_SECONDS = 0.061
+SLICE_SECONDS = 10
+KEPT_SLICES = 360
+CAUSES = ("load_stall", "queue", "refusal", "back_end")
+
+
+class ServiceLevels:
+    """
+    Good and bad events in slices of ten seconds, kept for an hour.
+
+    Each event has an objective (``first_token``, ``token_gap`` or ``refusal``), a
+    customer, a zone and, when it is bad, a cause.
+    """
+
+    def __init__(self):
+        self._slices = deque(maxlen=KEPT_SLICES)
+
+    def add(self, objective, customer, zone, cause, now):
+        """Record one event; an empty `cause` means that the objective was met."""
+        counts = self._slice_at(now)[1]
+        counts[(objective, customer, zone, cause)] += 1
+
+    def document(self, now):
+        """Return all counts as a JSON-compatible object; `now` is wall clock."""
+        return {
+            "now": now,
+            "slice_seconds": SLICE_SECONDS,
+            "slices": [
+                {
+                    "start": start,
+                    "counts": [[*identity, n] for identity, n in counts.items()],
+                }
+                for start, counts in self._slices
+            ],
+        }
+
+    def _slice_at(self, now):
+        start = int(now // SLICE_SECONDS) * SLICE_SECONDS
+        if not self._slices or self._slices[-1][0] < start:
+            self._slices.append((start, defaultdict(int)))
+        return self._slices[-1]
--- /dev/null
+++ b/rosemarypath/link.py
@@ -0,0 +1,272 @@
+"""
+rosemarypath.link
+~~~~~~~~~~~~~~~~~
+
+Links between daemons: pynng sockets, coalesced messages, asks with timeouts.
+"""
+
+import asyncio
+import itertools
+import time
+from collections import Counter
+
+import msgspec
+import pynng
+from pynng import lib as nng
+
+from rosemarypath.log import get_logger
+from rosemarypath.messages import Batch, Frame
+
+__all__ = ["Link", "Mesh"]
+
+COALESCE_SECONDS = 0.001
+REDIAL_SECONDS = 1.0
+MAX_BATCH = 200
+SEND_BUFFER = 64
+RECEIVE_BUFFER = 1024
+TASK_THREADS = 2
+
+_log = get_logger("link")
+
+
+def _limit_threads():
+    """Keep the library from starting a thread for each core; call it once, early."""
+    for parameter, value in (
+        (nng.NNG_INIT_NUM_TASK_THREADS, TASK_THREADS),
+        (nng.NNG_INIT_MAX_TASK_THREADS, TASK_THREADS),
+        (nng.NNG_INIT_NUM_POLLER_THREADS, 1),
+        (nng.NNG_INIT_MAX_POLLER_THREADS, 1),
+        (nng.NNG_INIT_NUM_EXPIRE_THREADS, 1),
+        (nng.NNG_INIT_MAX_EXPIRE_THREADS, 1),
+    ):
+        nng.nng_init_set_parameter(parameter, value)
+
+
+_limit_threads()
+
+
+class Link:
+    """
+    The sending half of the link to one peer incarnation, with a task of its own.
+
+    `identity` is the peer's ``name/incarnation``, `address` where it is dialled.
+    """
+
+    def __init__(self, mesh, identity, address):
+        self._mesh = mesh
+        self._address = address
+        self._socket = None
+        self._frames = []
+        self._wakened = asyncio.Event()
+        self._task = asyncio.create_task(self._run())
+        self._asked_at = 0.0
+        self._dialled_at = 0.0
+        self.identity = identity
+        self.heard_at = time.monotonic()
+
+    def put(self, frame):
+        """Queue `frame` for the next batch."""
+        self._frames.append(frame)
+        if frame.number:
+            self._asked_at = time.monotonic()
+        self._wakened.set()
+
+    def close(self):
+        """End the task and close the socket."""
+        self._task.cancel()
+        self._close_socket()
+
+    def redial_if_silent(self, now):
+        """Replace a connection on which asks stay unanswered."""
+        silent = now - self.heard_at > REDIAL_SECONDS
+        waiting = self._asked_at > self.heard_at
+        if silent and waiting and now - self._dialled_at > REDIAL_SECONDS:
+            self._close_socket()
+
+    def _close_socket(self):
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def _dial(self):
+        self._dialled_at = time.monotonic()
+        self._socket = pynng.Push0(send_buffer_size=SEND_BUFFER)
+        self._socket.dial(f"tcp://{self._address}", block=False)
+
+    async def _run(self):
+        while True:
+            await self._wakened.wait()
+            await asyncio.sleep(COALESCE_SECONDS)
+            self._wakened.clear()
+            while self._frames:
+                frames = self._frames[:MAX_BATCH]
+                del self._frames[:MAX_BATCH]
+                self._send(frames)
+
+    def _send(self, frames):
+        if self._socket is None:
+            self._dial()
+        data = self._mesh.encode(self.identity, frames)
+        try:
+            self._socket.send(data, block=False)
+        except pynng.TryAgain:
+            self._mesh.counts["dropped"] += len(frames)
+        except pynng.NNGException as error:
+            _log.debug("sending to {} failed: {}", self.identity, error)
+            self._close_socket()
+
+
+class Mesh:
+    """
+    All links of one daemon.
+
+    Options:
+
+    `identity`
+        This daemon's ``name/incarnation``.
+    `listen_address`
+        ``host:port`` where peers connect.
+    `dial_address`
+        Function that maps a peer's address to the address to dial.
+    """
+
+    def __init__(self, identity, listen_address, dial_address=lambda address: address):
+        self._listen_address = listen_address
+        self._dial_address = dial_address
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Batch)
+        self._links = {}
+        self._addresses = {}
+        self._handlers = {}
+        self._waiting = {}
+        self._numbers = itertools.count(1)
+        self._inbox = None
+        self._tasks = set()
+        self.identity = identity
+        self.counts = Counter()
+
+    async def start(self):
+        """Listen; raises `pynng.AddressInUse` when the address is taken."""
+        self._inbox = pynng.Pull0(recv_buffer_size=RECEIVE_BUFFER)
+        self._inbox.listen(f"tcp://{self._listen_address}")
+        asyncio.get_running_loop().add_reader(self._inbox.recv_fd, self._drain)
+
+    async def stop(self):
+        """Close all links."""
+        asyncio.get_running_loop().remove_reader(self._inbox.recv_fd)
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
+        self._inbox.close()
+
+    def on(self, message_type, handler):
+        """
+        Call ``handler(sender, message)`` for each message of `message_type`.
+
+        What an asynchronous or plain handler returns is sent back as the reply.
+        """
+        self._handlers[message_type] = handler
+
+    def learn(self, identity, address):
+        """Remember where `identity` listens."""
+        self._addresses[identity] = address
+
+    def forget_all_but(self, identities):
+        """Close the links to peers that are not in `identities`."""
+        for identity in [i for i in self._links if i not in identities]:
+            self._links.pop(identity).close()
+            self._addresses.pop(identity, None)
+
+    def send(self, identity, message):
+        """Send `message` without waiting; it may be lost."""
+        self._put(identity, Frame(0, 0, message))
+
+    async def ask(self, identity, message, timeout):
+        """Return the reply to `message`, or ``None`` after `timeout` seconds."""
+        number = next(self._numbers)
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[number] = future
+        try:
+            self._put(identity, Frame(number, 0, message))
+            async with asyncio.timeout(timeout):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            del self._waiting[number]
+
+    def check_silence(self, now):
+        """Redial the peers that fell silent."""
+        for link in self._links.values():
+            link.redial_if_silent(now)
+
+    def encode(self, receiver, frames):
+        """Return the bytes of one batch."""
+        batch = Batch(self.identity, self._listen_address, receiver, frames)
+        data = self._encoder.encode(batch)
+        self.counts["batches_sent"] += 1
+        self.counts["frames_sent"] += len(frames)
+        self.counts["bytes_sent"] += len(data)
+        return data
+
+    def _put(self, identity, frame):
+        if identity == self.identity:
+            asyncio.get_running_loop().call_soon(self._receive, identity, frame)
+            return
+        link = self._links.get(identity)
+        if link is None:
+            address = self._addresses.get(identity)
+            if address is None:
+                self.counts["unknown_peer"] += 1
+                return
+            link = Link(self, identity, self._dial_address(address))
+            self._links[identity] = link
+        link.put(frame)
+
+    def _drain(self):
+        while True:
+            try:
+                data = self._inbox.recv(block=False)
+            except pynng.TryAgain:
+                return
+            self.counts["batches_received"] += 1
+            self.counts["bytes_received"] += len(data)
+            try:
+                batch = self._decoder.decode(data)
+            except msgspec.DecodeError as error:
+                _log.warning("a batch cannot be decoded: {}", error)
+                continue
+            self._open(batch)
+
+    def _open(self, batch):
+        if batch.receiver != self.identity:
+            self.counts["stale_receiver"] += 1
+            return
+        self._addresses[batch.sender] = batch.sender_address
+        link = self._links.get(batch.sender)
+        if link is not None:
+            link.heard_at = time.monotonic()
+        for frame in batch.frames:
+            self._receive(batch.sender, frame)
+
+    def _receive(self, sender, frame):
+        if frame.reply_to:
+            future = self._waiting.get(frame.reply_to)
+            if future is not None and not future.done():
+                future.set_result(frame.body)
+            return
+        handler = self._handlers.get(type(frame.body))
+        if handler is None:
+            return
+        result = handler(sender, frame.body)
+        if asyncio.iscoroutine(result):
+            task = asyncio.create_task(self._answer(sender, frame, result))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        elif result is not None and frame.number:
+            self._put(sender, Frame(0, frame.number, result))
+
+    async def _answer(self, sender, frame, coroutine):
+        result = await coroutine
+        if result is not None and frame.number:
+            self._put(sender, Frame(0, frame.number, result))
--- /dev/null
+++ b/rosemarypath/machine.py
@@ -0,0 +1,49 @@
+"""
+rosemarypath.machine
+~~~~~~~~~~~~~~~~~~~~
+
+Entry machines, as recorded in the roster.
+"""
+
+import msgspec
+
+__all__ = ["DRAINING", "UP", "Machine"]
+
+UP = "up"
+DRAINING = "draining"
+
+
+class Machine(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    One incarnation of a daemon on an entry machine.
+
+    Options:
+
+    `name`
+        Stable name from the settings.
+    `incarnation`
+        Random identifier drawn at each start; never used twice.
+    `zone`
+        Name of the zone the machine stands in.
+    `callers_address`
+        ``host:port`` where callers connect by HTTP.
+    `peers_address`
+        ``host:port`` where other daemons connect.
+    `state`
+        ``up`` or ``draining`` (default ``up``).
+    `witnesses`
+        Identities of the daemons that witness this one (default none).
+    """
+
+    name: str
+    incarnation: str
+    zone: str
+    callers_address: str
+    peers_address: str
+    state: str = UP
+    witnesses: tuple[str, ...] = ()
+
+    @property
+    def identity(self):
+        """Return ``name/incarnation``, unique over all starts of all daemons."""
+        return f"{self.name}/{self.incarnation}"
--- /dev/null
+++ b/rosemarypath/membership.py
@@ -0,0 +1,372 @@
+"""
+rosemarypath.membership
+~~~~~~~~~~~~~~~~~~~~~~~
+
+One daemon's membership: joins, heartbeats, takes part in proofs, drains and leaves.
+"""
+
+import asyncio
+import secrets
+import time
+
+import msgspec
+
+from rosemarypath.errors import ConflictError, NotFoundError, StoreUnavailableError
+from rosemarypath.fencing import Fencing
+from rosemarypath.log import get_logger
+from rosemarypath.machine import DRAINING, Machine
+from rosemarypath.messages import Heartbeat, HeartbeatAck, Testimony
+from rosemarypath.ownership import Ownership
+from rosemarypath.roster import Roster, choose_witnesses
+from rosemarypath.spread import FLEET
+from rosemarypath.standing import Standing
+from rosemarypath.witness import Witness
+
+__all__ = ["ROSTER", "Membership", "new_incarnation"]
+
+ROSTER = "roster"
+JOIN_RETRY_SECONDS = 0.2
+PAUSE_HEARTBEATS = 3
+REJOIN_LEASES = 4
+REMOVE_SECONDS_PER_RANK = 1.0
+
+_log = get_logger("membership")
+
+
+def new_incarnation():
+    """Return a random identifier for one start of a daemon."""
+    return secrets.token_hex(4)
+
+
+class Membership:
+    """
+    This daemon among the others.
+
+    Options:
+
+    `settings`
+        The daemon's `Settings`.
+    `store`
+        The `StoreClient` of the object API.
+    `mesh`
+        The `Mesh` of links to the other daemons.
+    `keeper`
+        The `ConfigurationKeeper`.
+    `history`
+        The event history.
+    `on_release`
+        Called with the set of resources that this daemon no longer owns.
+    `on_replaced`
+        Called when another process has taken this machine's name.
+    """
+
+    def __init__(self, settings, store, mesh, keeper, history, on_release, on_replaced):
+        self._settings = settings
+        self._timing = settings.timing
+        self._store = store
+        self._mesh = mesh
+        self._keeper = keeper
+        self._history = history
+        self._on_release = on_release
+        self._on_replaced = on_replaced
+        self._on_revisions = lambda identity, roster, configuration: None
+        self._tasks = []
+        self._ticked_at = 0.0
+        self._bad_since = None
+        self._fenced_at = {}
+        self._draining = False
+        self._writing = False
+        self.roster = Roster()
+        self._begin(mesh.identity)
+        mesh.on(Heartbeat, self._on_heartbeat)
+        mesh.on(HeartbeatAck, self._on_ack)
+        mesh.on(Testimony, self._on_testimony)
+
+    def _begin(self, identity):
+        """Start as a new incarnation, with nothing owned and nothing proven."""
+        silence = self._timing.lease + self._timing.margin
+        self.identity = identity
+        self.standing = Standing(identity, self._timing.lease)
+        self.witness = Witness(identity, silence)
+        self.fencing = Fencing()
+        self.ownership = Ownership(identity, self.fencing)
+
+    @property
+    def machine(self):
+        """Return this daemon's roster entry, or ``None``."""
+        return self.roster.find(self.identity)
+
+    @property
+    def is_draining(self):
+        """Return whether this daemon takes no new callers."""
+        return self._draining
+
+    def report_revisions_to(self, callback):
+        """Call ``callback(identity, roster, configuration)`` for each heartbeat."""
+        self._on_revisions = callback
+
+    def in_standing(self, now):
+        """Return whether this daemon may admit requests and give orders at `now`."""
+        return self.standing.is_good(now)
+
+    async def start(self):
+        """Join the roster, waiting for the object API as long as it takes."""
+        while not await self._join():
+            await asyncio.sleep(JOIN_RETRY_SECONDS)
+        self._tasks = [asyncio.create_task(self._tick_forever())]
+
+    async def stop(self):
+        """Leave the roster and end the tasks."""
+        for task in self._tasks:
+            task.cancel()
+        await self._change_roster(lambda roster: roster.without({self.identity}))
+
+    async def drain(self):
+        """Record in the roster that this daemon takes no new callers."""
+        self._draining = True
+        for _ in range(5):
+            if await self._change_roster(self._with_own_state):
+                return
+            await asyncio.sleep(JOIN_RETRY_SECONDS)
+        _log.warning("the object API is unavailable; draining without a record")
+
+    def adopt(self, roster):
+        """Put a newer `roster` in force; older ones are ignored."""
+        if roster.revision <= self.roster.revision:
+            return
+        self.roster = roster
+        for identity, machine in roster.members.items():
+            self._mesh.learn(identity, machine.peers_address)
+        self._mesh.forget_all_but(roster.members)
+        self.fencing.adopt(roster)
+        machine = self.machine
+        if machine is not None:
+            self.standing.require(roster.revision, machine.witnesses)
+        released = self.ownership.adopt(roster)
+        self._history.write("roster_adopted", revision=roster.revision)
+        if released:
+            self._on_release(released)
+
+    def learn_barrier(self, revision):
+        """Record that every member adopted roster `revision` or is fenced."""
+        self.ownership.raise_barrier(revision)
+        self.standing.forget_before(self.ownership.barrier)
+
+    def learn_fenced(self, identity):
+        """Record a proof made by a peer with a roster at least as new."""
+        if self.fencing.add_fact(identity, self.roster):
+            self._note_fenced(identity)
+
+    async def read_roster(self):
+        """Read the roster from the object API and adopt it."""
+        try:
+            stored = await self._store.get(FLEET, ROSTER)
+        except NotFoundError:
+            return
+        self.adopt(Roster.from_stored(stored))
+
+    async def _join(self, given_up=frozenset()):
+        """
+        Write this incarnation into the roster; return whether that succeeded.
+
+        `given_up` are own earlier identities, which never act again.
+        """
+
+        def with_self(roster):
+            machine = Machine(
+                name=self._settings.machine,
+                incarnation=self.identity.partition("/")[2],
+                zone=self._settings.zone,
+                callers_address=self._settings.callers_address,
+                peers_address=self._settings.peers_address,
+            )
+            witnesses = choose_witnesses(machine, roster)
+            machine = msgspec.structs.replace(machine, witnesses=witnesses)
+            return roster.with_machine(machine).without(given_up)
+
+        if not await self._change_roster(with_self):
+            return False
+        _log.info("joined as {}", self.identity)
+        self._history.write("joined", revision=self.roster.revision)
+        return True
+
+    async def _rejoin(self):
+        """Give up a fenced incarnation and join as a new one."""
+        fenced = self.identity
+        name = self._settings.machine
+        _log.warning("incarnation {} lost its standing; joining anew", fenced)
+        self._on_release(self.ownership.held)
+        self._begin(f"{name}/{new_incarnation()}")
+        self._mesh.identity = self.identity
+        self.roster = Roster()
+        self._bad_since = None
+        while not await self._join({fenced}):
+            await asyncio.sleep(JOIN_RETRY_SECONDS)
+
+    async def _change_roster(self, change):
+        """
+        Read the roster, write what `change` makes of it, and adopt that.
+
+        Returns false when the object API is unavailable or another writer won.
+        """
+        try:
+            try:
+                stored = await self._store.get(FLEET, ROSTER)
+                roster = Roster.from_stored(stored)
+                changed = change(roster)
+                if changed == roster:
+                    self.adopt(roster)
+                    return True
+                stored = await self._store.update(
+                    FLEET, ROSTER, changed.to_spec(), stored.version
+                )
+            except NotFoundError:
+                changed = change(Roster())
+                stored = await self._store.create(FLEET, ROSTER, changed.to_spec())
+        except (ConflictError, StoreUnavailableError) as error:
+            _log.debug("the roster was not changed: {}", error)
+            return False
+        self.adopt(Roster.from_stored(stored))
+        return True
+
+    def _with_own_state(self, roster):
+        """Return `roster` with this daemon's present state and usable witnesses."""
+        machine = roster.find(self.identity)
+        if machine is None or not roster.is_current(self.identity):
+            return roster
+        witnesses = choose_witnesses(machine, roster, self.fencing.fenced)
+        state = DRAINING if self._draining else machine.state
+        if sorted(witnesses) == sorted(machine.witnesses):
+            witnesses = machine.witnesses
+        else:
+            self.standing.require_pending(witnesses)
+        return roster.with_machine(
+            msgspec.structs.replace(machine, witnesses=witnesses, state=state)
+        )
+
+    async def _tick_forever(self):
+        while True:
+            now = time.monotonic()
+            try:
+                await self._tick(now)
+            except Exception:
+                _log.exception("a membership step failed")
+            await asyncio.sleep(self._timing.heartbeat)
+
+    async def _tick(self, now):
+        if now - self._ticked_at > PAUSE_HEARTBEATS * self._timing.heartbeat:
+            self.witness.excuse_all(now)
+        self._ticked_at = now
+        self._send_heartbeats(now)
+        self._mesh.check_silence(now)
+        if self.in_standing(now):
+            if self._bad_since is not None:
+                self._bad_since = None
+                self.witness.excuse_all(now)
+            self._send_testimonies(now)
+            if not self._writing:
+                asyncio.create_task(self._keep_roster(now))
+            return
+        if self._bad_since is None:
+            self._bad_since = now
+            self._history.write("standing_lost")
+        out_for = now - self._bad_since
+        if self._is_replaced():
+            self._on_replaced()
+            return
+        was_removed = self.roster.revision and self.machine is None
+        hopeless = self.standing.is_lost() or was_removed
+        if hopeless or out_for > REJOIN_LEASES * self._timing.lease:
+            await self._rejoin()
+
+    def _is_replaced(self):
+        """Return whether another process has joined under this machine's name."""
+        present = self.roster.machines.get(self._settings.machine)
+        return present is not None and present.identity != self.identity
+
+    def _send_heartbeats(self, now):
+        message = Heartbeat(now, self.roster.revision, self._keeper.revision)
+        for witness in self.standing.witnesses:
+            self._mesh.send(witness, message)
+
+    def _send_testimonies(self, now):
+        relays = self.roster.relays()
+        for about in self.witness.testify(self.roster, now):
+            if self.fencing.is_fenced(about):
+                continue
+            self._history.write("testified", about=about)
+            for relay in relays:
+                self._mesh.send(relay, Testimony(about))
+
+    async def _keep_roster(self, now):
+        """Replace unusable witnesses and remove members that are proven fenced."""
+        self._writing = True
+        try:
+            machine = self.machine
+            if machine is None:
+                return
+            wanted = choose_witnesses(machine, self.roster, self.fencing.fenced)
+            if sorted(wanted) != sorted(machine.witnesses):
+                if await self._change_roster(self._with_own_state):
+                    self.standing.settle_pending()
+            removable = self._removable(now)
+            if removable:
+                await self._change_roster(self._without(removable))
+        finally:
+            self._writing = False
+
+    def _without(self, identities):
+        """Return a change that removes those whose proof holds then too."""
+
+        def change(roster):
+            proven = {i for i in identities if self.fencing.proof_holds(i, roster)}
+            return roster.without(proven)
+
+        return change
+
+    def _removable(self, now):
+        """Return the fenced members that it falls to this daemon to remove by now."""
+        relays = [r for r in self.roster.relays() if not self.fencing.is_fenced(r)]
+        if self.identity not in relays:
+            return set()
+        delay = relays.index(self.identity) * REMOVE_SECONDS_PER_RANK
+        return {
+            identity
+            for identity in self.fencing.fenced
+            if now - self._fenced_at.get(identity, now) >= delay
+            and self.roster.find(identity) is not None
+        }
+
+    def _note_fenced(self, identity):
+        self._fenced_at[identity] = time.monotonic()
+        _log.info("{} is proven fenced", identity)
+        self._history.write("fenced", about=identity)
+
+    def _on_heartbeat(self, sender, message):
+        now = time.monotonic()
+        accepted = self.witness.hear(sender, now)
+        self._keeper.hear(message.configuration_revision, now)
+        self._on_revisions(
+            sender, message.roster_revision, message.configuration_revision
+        )
+        ack = HeartbeatAck(
+            message.sent_at,
+            accepted,
+            self.roster.revision,
+            self._keeper.revision,
+            self.ownership.barrier,
+        )
+        self._mesh.send(sender, ack)
+
+    def _on_ack(self, sender, message):
+        if not message.accepted:
+            self.standing.refuse(sender)
+            return
+        self.standing.acknowledge(sender, message.sent_at)
+        self._keeper.hear(message.configuration_revision, time.monotonic())
+        if message.barrier <= self.roster.revision:
+            self.learn_barrier(message.barrier)
+
+    def _on_testimony(self, sender, message):
+        if self.fencing.add_testimony(sender, message.about, self.roster):
+            self._note_fenced(message.about)
--- /dev/null
+++ b/rosemarypath/messages.py
@@ -0,0 +1,297 @@
+"""
+rosemarypath.messages
+~~~~~~~~~~~~~~~~~~~~~
+
+The messages between daemons, encoded as MessagePack by msgspec.
+"""
+
+import msgspec
+
+from rosemarypath.machine import Machine
+
+__all__ = [
+    "Adopted",
+    "AdoptionAsk",
+    "AdoptionReport",
+    "Batch",
+    "ConfigurationAsk",
+    "ConfigurationDelta",
+    "Frame",
+    "GrantAsk",
+    "GrantReply",
+    "HeartbeatAck",
+    "Heartbeat",
+    "HeldSeat",
+    "News",
+    "NewsAsk",
+    "PermitAsk",
+    "PermitReply",
+    "PermitReturn",
+    "RosterCopy",
+    "SeatAsk",
+    "SeatRelease",
+    "SeatReply",
+    "SeatsHeld",
+    "SeatsHeldAsk",
+    "Settle",
+    "Testimony",
+]
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Base of all messages."""
+
+
+class Heartbeat(Message):
+    """Asks a witness to acknowledge; `sent_at` is the sender's clock in seconds."""
+
+    sent_at: float
+    roster_revision: int
+    configuration_revision: int
+
+
+class HeartbeatAck(Message):
+    """
+    A witness's answer.
+
+    `accepted` is false once the witness testified against the sender; `barrier` is
+    the highest roster revision known to be adopted by every member.
+    """
+
+    sent_at: float
+    accepted: bool
+    roster_revision: int
+    configuration_revision: int
+    barrier: int
+
+
+class Adopted(Message):
+    """Tells a relay which revisions the sender has adopted."""
+
+    roster_revision: int
+    configuration_revision: int
+
+
+class Testimony(Message):
+    """The sender, a witness of `about`, heard nothing of it for longer than a lease."""
+
+    about: str
+
+
+class NewsAsk(Message):
+    """Asks a relay for what changed beyond these revisions."""
+
+    roster_revision: int
+    configuration_revision: int
+    fenced: tuple[str, ...] = ()
+
+
+class News(Message):
+    """
+    What a relay knows.
+
+    `accepted` is the highest configuration revision known to be adopted by every
+    member; `leaving` names the back ends that the platform lists as leaving.
+    """
+
+    roster_revision: int
+    configuration_revision: int
+    barrier: int
+    accepted: int
+    fenced: tuple[str, ...]
+    leaving: tuple[str, ...]
+
+
+class RosterCopy(Message):
+    """A roster as held by the sender; asked for by an empty copy."""
+
+    revision: int = 0
+    machines: dict[str, Machine] = {}
+    departed: dict[str, Machine] = {}
+
+
+class ConfigurationAsk(Message):
+    """Asks for what changed since the asker's `revision`."""
+
+    revision: int
+
+
+class ConfigurationDelta(Message):
+    """
+    What leads from revision `base` (0: from nothing) to `revision`.
+
+    `shards` maps shard numbers to hashes, an empty one for a shard that went;
+    `contents` maps hashes to lines.
+    """
+
+    base: int
+    revision: int
+    shards: dict[str, str]
+    contents: dict[str, list[str]]
+
+
+class AdoptionAsk(Message):
+    """Asks a relay which revisions each member has adopted."""
+
+
+class AdoptionReport(Message):
+    """Maps identities to ``(roster revision, configuration revision)``."""
+
+    adopted: dict[str, tuple[int, int]]
+    fenced: tuple[str, ...]
+    accepted: int
+
+
+class SeatAsk(Message):
+    """
+    Asks a back end's owner for a seat.
+
+    `adapter` is the engine name of an adapter version, empty for plain services;
+    `tokens` is what the request may use; `patience` is in seconds.
+    """
+
+    back_end: str
+    request: str
+    customer: str
+    adapter: str
+    tokens: int
+    patience: float
+
+
+class SeatReply(Message):
+    """
+    The owner's answer.
+
+    `granted` with the `fence` to send along, or a refusal with `reason`; `free` and
+    `queued` are the owner's state, `waited_for_load` is in seconds.
+    """
+
+    granted: bool
+    reason: str
+    fence: int
+    free: int
+    queued: int
+    waited_for_load: float = 0.0
+
+
+class SeatRelease(Message):
+    """Ends a seat; `outcome` is ran, not_run or broken."""
+
+    back_end: str
+    request: str
+    outcome: str
+    tokens: int
+    seconds: float
+
+
+class HeldSeat(msgspec.Struct, frozen=True, array_like=True):
+    """One seat that an entry daemon holds."""
+
+    request: str
+    customer: str
+    adapter: str
+    tokens: int
+
+
+class SeatsHeldAsk(Message):
+    """A new owner asks what the receiver holds; older fences end with it."""
+
+    back_end: str
+    fence: int
+
+
+class SeatsHeld(Message):
+    """The seats that the sender holds on one back end."""
+
+    seats: tuple[HeldSeat, ...]
+
+
+class GrantAsk(Message):
+    """Asks the owner of a customer's budget for tokens."""
+
+    customer: str
+    reservation: str
+    tokens: int
+
+
+class GrantReply(Message):
+    """Tokens granted, or the seconds to wait; `owned` is false for a non-owner."""
+
+    granted: bool
+    wait: float
+    owned: bool
+
+
+class Settle(Message):
+    """Gives back what a reservation did not use."""
+
+    customer: str
+    reservation: str
+    used: int
+
+
+class PermitAsk(Message):
+    """Asks the weight store's owner for a load permit."""
+
+    permit: str
+
+
+class PermitReply(Message):
+    """Whether the permit is granted, or the seconds to wait."""
+
+    granted: bool
+    wait: float
+    owned: bool
+
+
+class PermitReturn(Message):
+    """Ends a load permit."""
+
+    permit: str
+
+
+Body = (
+    Heartbeat
+    | HeartbeatAck
+    | Adopted
+    | Testimony
+    | NewsAsk
+    | News
+    | RosterCopy
+    | ConfigurationAsk
+    | ConfigurationDelta
+    | AdoptionAsk
+    | AdoptionReport
+    | SeatAsk
+    | SeatReply
+    | SeatRelease
+    | SeatsHeldAsk
+    | SeatsHeld
+    | GrantAsk
+    | GrantReply
+    | Settle
+    | PermitAsk
+    | PermitReply
+    | PermitReturn
+)
+
+
+class Frame(msgspec.Struct, frozen=True, array_like=True):
+    """
+    One message in a batch.
+
+    `number` is set on asks, `reply_to` on replies; both are 0 otherwise.
+    """
+
+    number: int
+    reply_to: int
+    body: Body
+
+
+class Batch(msgspec.Struct, frozen=True, array_like=True):
+    """Messages that travel together from one incarnation to another."""
+
+    sender: str
+    sender_address: str
+    receiver: str
+    frames: list[Frame]
--- /dev/null
+++ b/rosemarypath/operators.py
@@ -0,0 +1,134 @@
+"""
+rosemarypath.operators
+~~~~~~~~~~~~~~~~~~~~~~
+
+The operators' API of a daemon: status, explanations and the report's figures.
+"""
+
+import time
+
+from rosemarypath.httpserver import json_response
+from rosemarypath.owners import back_end_resource, budget_resource
+
+__all__ = ["OperatorsApi"]
+
+
+class OperatorsApi:
+    """
+    Serves the command-line tool.
+
+    `daemon` gives access to the daemon's parts.
+    """
+
+    def __init__(self, daemon):
+        self._daemon = daemon
+
+    def add_routes(self, server):
+        """Serve the operators' API on `server`."""
+        server.add("GET", "/status", self._status)
+        server.add("GET", "/adoption", self._adoption)
+        server.add("GET", "/explain/{name}", self._explain)
+        server.add("GET", "/levels", self._levels)
+
+    async def _status(self, request):
+        daemon = self._daemon
+        now = time.monotonic()
+        membership = daemon.membership
+        return json_response(
+            200,
+            {
+                "machine": daemon.settings.machine,
+                "identity": membership.identity,
+                "zone": daemon.settings.zone,
+                "in_standing": membership.in_standing(now),
+                "draining": membership.is_draining,
+                "roster_revision": membership.roster.revision,
+                "barrier": membership.ownership.barrier,
+                "configuration_revision": daemon.keeper.revision,
+                "accepted_revision": daemon.relay.accepted,
+                "is_relay": daemon.relay.is_relay,
+                "witnesses": sorted(membership.standing.witnesses),
+                "fenced": sorted(membership.fencing.fenced),
+                "machines": [
+                    {"name": m.name, "zone": m.zone, "state": m.state}
+                    for m in membership.roster.machines.values()
+                ],
+                "in_flight": daemon.entry.in_flight,
+                "seats_held": daemon.seats.held_count,
+                "back_ends": [
+                    _describe_broker(broker)
+                    for broker in daemon.owners.brokers.values()
+                ],
+                "store_calls": dict(daemon.store.calls),
+                "link_counts": dict(daemon.mesh.counts),
+                "counts": dict(daemon.metrics.counts),
+            },
+        )
+
+    async def _adoption(self, request):
+        report = await self._daemon.relay.adoption()
+        if report is None:
+            return json_response(503, {"error": "no relay answers; try again"})
+        return json_response(
+            200,
+            {
+                "adopted": report.adopted,
+                "fenced": list(report.fenced),
+                "accepted": report.accepted,
+            },
+        )
+
+    async def _explain(self, request):
+        """Tell for a request what became of it, for a route where it leads."""
+        name = request.route_values["name"]
+        daemon = self._daemon
+        recent = daemon.recent.get(name)
+        if recent is not None:
+            return json_response(200, {"request": name, **recent})
+        route = daemon.keeper.current.routes.get(name)
+        if route is None:
+            message = f"neither a route nor a recent request of this machine: {name}"
+            return json_response(404, {"error": message})
+        return json_response(200, self._explain_route(route))
+
+    def _explain_route(self, route):
+        daemon = self._daemon
+        now = time.monotonic()
+        ownership = daemon.membership.ownership
+        adapter = daemon.keeper.current.adapters.get(route.adapter)
+        engine_name = adapter.engine_name if adapter is not None else ""
+        ranked = daemon.candidates(route, engine_name, now)
+        return {
+            "route": route.name,
+            "customer": route.customer or "(open)",
+            "adapter": engine_name,
+            "service": route.service,
+            "in_standing": daemon.membership.in_standing(now),
+            "budget_owner": ownership.owner_of(budget_resource(route.customer)),
+            "back_ends": [
+                {
+                    "name": back_end.name,
+                    "zone": back_end.zone,
+                    "owner": ownership.owner_of(back_end_resource(back_end.name)),
+                }
+                for back_end in ranked
+            ],
+            "out_of_service": [
+                back_end.name
+                for back_end in daemon.all_back_ends(route)
+                if not daemon.is_in_service(back_end.name)
+            ],
+        }
+
+    async def _levels(self, request):
+        return json_response(200, self._daemon.levels.document(time.time()))
+
+
+def _describe_broker(broker):
+    return {
+        "name": broker.back_end.name,
+        "limit": broker.limit,
+        "seats": len(broker.seats),
+        "queued": broker.queued,
+        "adapters": broker.adapters,
+    }
--- /dev/null
+++ b/rosemarypath/outcome.py
@@ -0,0 +1,74 @@
+"""
+rosemarypath.outcome
+~~~~~~~~~~~~~~~~~~~~
+
+Tagged outcomes of one attempt to run a request on a back end.
+"""
+
+from dataclasses import dataclass
+
+__all__ = ["NotRun", "Outcome", "Ran", "Unknown", "refusal_body"]
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """
+    Base of the three outcomes.
+
+    `tag` is the value of the field `not_run` in error bodies.
+    """
+
+    tag = None
+
+
+@dataclass(frozen=True)
+class Ran(Outcome):
+    """The back end accepted the request and answered with HTTP status `status`."""
+
+    status: int
+    tag = False
+
+
+@dataclass(frozen=True)
+class NotRun(Outcome):
+    """
+    No back end started the request; running it again is safe.
+
+    `retry_after` is in seconds, 0 when waiting does not help; `can_retry` tells
+    whether another back end may be tried at once.
+    """
+
+    status: int
+    code: str
+    message: str
+    retry_after: float = 0.0
+    can_retry: bool = False
+    tag = True
+
+
+@dataclass(frozen=True)
+class Unknown(Outcome):
+    """The request may have run: its bytes left and no proof of refusal came back."""
+
+    status: int
+    code: str
+    message: str
+    tag = "unknown"
+
+
+def refusal_body(outcome, request_id):
+    """
+    Return the JSON-compatible error body for `outcome`, in the OpenAI style.
+
+    >>> refusal_body(NotRun(429, "rate_limited", "over the rate", 1.5), "r1")["error"]["code"]
+    'rate_limited'
+    """  # noqa: E501
+    return {
+        "error": {
+            "message": outcome.message,
+            "type": "rosemarypath_error",
+            "code": outcome.code,
+            "not_run": outcome.tag,
+            "request_id": request_id,
+        }
+    }
--- /dev/null
+++ b/rosemarypath/owners.py
@@ -0,0 +1,250 @@
+"""
+rosemarypath.owners
+~~~~~~~~~~~~~~~~~~~
+
+Everything this daemon owns: back ends, customers' budgets, the weight store.
+"""
+
+import asyncio
+import time
+
+from rosemarypath.budget import BudgetOwner
+from rosemarypath.messages import (
+    GrantAsk,
+    GrantReply,
+    PermitAsk,
+    PermitReply,
+    PermitReturn,
+    SeatAsk,
+    SeatRelease,
+    SeatReply,
+    SeatsHeldAsk,
+    Settle,
+)
+from rosemarypath.orders import EngineOrders
+from rosemarypath.policies import Waiter
+from rosemarypath.seat import NOT_OWNER, SeatBroker
+from rosemarypath.weights import LoadPermits
+
+__all__ = ["Owners", "back_end_resource", "budget_resource"]
+
+WEIGHTS = "weights"
+ASK_TIMEOUT = 0.3
+KEEP_SECONDS = 0.2
+PERMIT_WAIT_LIMIT = 0.5
+
+
+def back_end_resource(name):
+    """Return the resource name of a back end."""
+    return f"backend/{name}"
+
+
+def budget_resource(name):
+    """Return the resource name of a customer's budget."""
+    return f"customer/{name}"
+
+
+class Owners:
+    """
+    The owned resources of one daemon.
+
+    Options:
+
+    `membership`, `keeper`, `relay`, `mesh`
+        The parts of the daemon that it works with.
+    `session`
+        The shared HTTP client session for orders.
+    `policy`
+        Name of the seat policy.
+    `history`
+        The event history.
+    """
+
+    def __init__(self, membership, keeper, relay, mesh, session, policy, history):
+        self._membership = membership
+        self._keeper = keeper
+        self._relay = relay
+        self._mesh = mesh
+        self._session = session
+        self._policy = policy
+        self._history = history
+        self._brokers = {}
+        self._budgets = {}
+        self._permits = None
+        self._task = None
+        mesh.on(SeatAsk, self._on_seat_ask)
+        mesh.on(SeatRelease, self._on_seat_release)
+        mesh.on(GrantAsk, self._on_grant_ask)
+        mesh.on(Settle, self._on_settle)
+        mesh.on(PermitAsk, self._on_permit_ask)
+        mesh.on(PermitReturn, self._on_permit_return)
+
+    @property
+    def brokers(self):
+        """Return the `SeatBroker` objects by the names of their back ends."""
+        return self._brokers
+
+    def start(self):
+        """Start to take over what this daemon comes to own."""
+        self._task = asyncio.create_task(self._keep_forever())
+
+    def stop(self):
+        """Give everything up."""
+        if self._task is not None:
+            self._task.cancel()
+        for name in list(self._brokers):
+            self._brokers.pop(name).stop()
+
+    def release(self, resources):
+        """Drop the state of `resources`, which moved to another daemon."""
+        for resource in resources:
+            kind, _, name = resource.partition("/")
+            if kind == "backend" and name in self._brokers:
+                self._brokers.pop(name).stop()
+            elif kind == "customer":
+                self._budgets.pop(name, None)
+            elif resource == WEIGHTS:
+                self._permits = None
+
+    def fence(self, resource, now):
+        """Return the fencing number for `resource` if this daemon may act on it."""
+        if not self._membership.in_standing(now):
+            return None
+        return self._membership.ownership.fence_of(resource)
+
+    async def _keep_forever(self):
+        while True:
+            now = time.monotonic()
+            for back_end in list(self._keeper.current.back_ends.values()):
+                self._keep_broker(back_end, now)
+            for name in list(self._brokers):
+                if name not in self._keeper.current.back_ends:
+                    self._brokers.pop(name).stop()
+            await asyncio.sleep(KEEP_SECONDS)
+
+    def _keep_broker(self, back_end, now):
+        resource = back_end_resource(back_end.name)
+        broker = self._brokers.get(back_end.name)
+        if self._membership.ownership.fence_of(resource) is None:
+            if broker is not None:
+                self._brokers.pop(back_end.name).stop()
+            return
+        if broker is None:
+            broker = self._new_broker(back_end, resource)
+            self._brokers[back_end.name] = broker
+            broker.start(lambda: self._collect_held(resource, back_end.name))
+        elif broker.back_end != back_end:
+            broker.update(back_end)
+        is_leaving = back_end.name in self._relay.leaving
+        accepts = self._keeper.current.zone_accepts(back_end.zone)
+        broker.set_open(accepts and not is_leaving)
+
+    def _new_broker(self, back_end, resource):
+        return SeatBroker(
+            back_end,
+            EngineOrders(self._session, back_end.address),
+            lambda: self.fence(resource, time.monotonic()),
+            self._acquire_permit,
+            self._policy,
+            self._history,
+            lambda identity: identity in self._membership.roster.members
+            and not self._membership.fencing.is_fenced(identity),
+            lambda identity: self._ask_held(identity, resource, back_end.name),
+        )
+
+    async def _ask_held(self, identity, resource, name):
+        """Return the requests for which `identity` holds seats, or ``None``."""
+        fence = self._membership.ownership.fence_of(resource) or 0
+        reply = await self._mesh.ask(identity, SeatsHeldAsk(name, fence), ASK_TIMEOUT)
+        return None if reply is None else {seat.request for seat in reply.seats}
+
+    async def _collect_held(self, resource, name):
+        """Return ``(Waiter, holder)`` for all seats on the back end `name`."""
+        membership = self._membership
+        answered = {}
+        while True:
+            pending = [
+                identity
+                for identity in membership.roster.members
+                if identity not in answered
+                and not membership.fencing.is_fenced(identity)
+            ]
+            if not pending:
+                break
+            ask = SeatsHeldAsk(name, membership.ownership.fence_of(resource) or 0)
+            replies = await asyncio.gather(
+                *(self._mesh.ask(i, ask, ASK_TIMEOUT) for i in pending)
+            )
+            for identity, reply in zip(pending, replies):
+                if reply is not None:
+                    answered[identity] = reply.seats
+        now = time.monotonic()
+        return [
+            (Waiter(s.request, s.customer, s.adapter, s.tokens, 1.0, now), identity)
+            for identity, seats in answered.items()
+            for s in seats
+        ]
+
+    async def _on_seat_ask(self, sender, message):
+        broker = self._brokers.get(message.back_end)
+        fence = self.fence(back_end_resource(message.back_end), time.monotonic())
+        if broker is None or fence is None:
+            return SeatReply(False, NOT_OWNER, 0, 0, 0)
+        customer = self._keeper.current.customers.get(message.customer)
+        weight = 1.0
+        if customer is not None:
+            weight = customer.weight * 2.0 ** (1 - customer.priority)
+        return await broker.ask(message, sender, weight)
+
+    def _on_seat_release(self, sender, message):
+        broker = self._brokers.get(message.back_end)
+        if broker is not None:
+            broker.release(message)
+        return message
+
+    def _on_grant_ask(self, sender, message):
+        now = time.monotonic()
+        customer = self._keeper.current.customers.get(message.customer)
+        resource = budget_resource(message.customer)
+        if customer is None or self.fence(resource, now) is None:
+            return GrantReply(False, 0.0, False)
+        budget = self._budgets.get(message.customer)
+        if budget is None:
+            budget = BudgetOwner(customer, now)
+            self._budgets[message.customer] = budget
+        budget.set_customer(customer, now)
+        wait = budget.reserve(message.reservation, message.tokens, now)
+        return GrantReply(wait == 0.0, wait, True)
+
+    def _on_settle(self, sender, message):
+        budget = self._budgets.get(message.customer)
+        if budget is not None:
+            budget.settle(message.reservation, message.used, time.monotonic())
+        return message
+
+    def _on_permit_ask(self, sender, message):
+        now = time.monotonic()
+        if self.fence(WEIGHTS, now) is None:
+            return PermitReply(False, 0.0, False)
+        limits = self._keeper.current.weight_store
+        if self._permits is None:
+            self._permits = LoadPermits(limits, now)
+        self._permits.set_limits(limits)
+        wait = self._permits.acquire(message.permit, now)
+        return PermitReply(wait == 0.0, wait, True)
+
+    def _on_permit_return(self, sender, message):
+        if self._permits is not None:
+            self._permits.give_back(message.permit)
+
+    async def _acquire_permit(self, permit):
+        """Wait for a load permit; return a function that gives it back."""
+        while True:
+            owner = self._membership.ownership.owner_of(WEIGHTS)
+            reply = None
+            if owner is not None:
+                reply = await self._mesh.ask(owner, PermitAsk(permit), ASK_TIMEOUT)
+            if reply is not None and reply.granted:
+                return lambda: self._mesh.send(owner, PermitReturn(permit))
+            wait = reply.wait if reply is not None else 0.0
+            await asyncio.sleep(min(max(wait, 0.02), PERMIT_WAIT_LIMIT))
--- /dev/null
+++ b/rosemarypath/policies/__init__.py
@@ -0,0 +1,88 @@
+"""
+rosemarypath.policies
+~~~~~~~~~~~~~~~~~~~~~
+
+Seat policies: whose request is next, which adapter to load and which to evict.
+"""
+
+from dataclasses import dataclass
+
+__all__ = ["SeatPolicy", "Slot", "Waiter", "get_policy_by_name", "policy"]
+
+_policies = {}
+
+
+def policy(name):
+    """Register a class as the seat policy `name`."""
+
+    def register(cls):
+        cls.name = name
+        _policies[name] = cls
+        return cls
+
+    return register
+
+
+def get_policy_by_name(name):
+    """
+    Return the policy class called `name`; raises `KeyError` when there is none.
+
+    >>> get_policy_by_name("fair").name
+    'fair'
+    """
+    from rosemarypath.policies import baseline, fair  # noqa: F401
+
+    return _policies[name]
+
+
+@dataclass(frozen=True)
+class Waiter:
+    """
+    A request that waits for a seat.
+
+    `cost` is in tokens, `weight` the customer's share, `since` the time it came.
+    """
+
+    request: str
+    customer: str
+    adapter: str
+    cost: int
+    weight: float
+    since: float
+
+
+@dataclass
+class Slot:
+    """One adapter held by an engine; `popularity` decays with time."""
+
+    adapter: str
+    in_use: int = 0
+    used_at: float = 0.0
+    popularity: float = 0.0
+    is_loaded: bool = True
+
+
+class SeatPolicy:
+    """
+    Base of the policies of one back end.
+
+    `waiting` are `Waiter` objects in the order they came, `is_ready` tells whether an
+    adapter can be used at once.
+    """
+
+    name = ""
+
+    def choose(self, waiting, is_ready, now):
+        """Return the waiter to seat next, or ``None``."""
+        raise NotImplementedError
+
+    def choose_load(self, waiting, is_ready, now):
+        """Return the waiter whose adapter to load next, or ``None``."""
+        raise NotImplementedError
+
+    def choose_victim(self, slots, waiting, now):
+        """Return the idle slot to evict, or ``None`` when none should go."""
+        raise NotImplementedError
+
+    def charge(self, waiter, now):
+        """Record that `waiter` was seated."""
--- /dev/null
+++ b/rosemarypath/policies/baseline.py
@@ -0,0 +1,30 @@
+"""
+rosemarypath.policies.baseline
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+First come, first served, with loads on demand: what others are compared with.
+"""
+
+from rosemarypath.policies import SeatPolicy, policy
+
+__all__ = ["BaselinePolicy"]
+
+
+@policy("baseline")
+class BaselinePolicy(SeatPolicy):
+    """Seats and loads in the order of arrival, evicts the least recently used."""
+
+    def choose(self, waiting, is_ready, now):
+        if waiting and is_ready(waiting[0].adapter):
+            return waiting[0]
+        return None
+
+    def choose_load(self, waiting, is_ready, now):
+        if waiting and not is_ready(waiting[0].adapter):
+            return waiting[0]
+        return None
+
+    def choose_victim(self, slots, waiting, now):
+        wanted = {waiter.adapter for waiter in waiting}
+        idle = [s for s in slots if s.in_use == 0 and s.adapter not in wanted]
+        return min(idle, key=lambda slot: slot.used_at, default=None)
--- /dev/null
+++ b/rosemarypath/relay.py
@@ -0,0 +1,296 @@
+"""
+rosemarypath.relay
+~~~~~~~~~~~~~~~~~~
+
+Spreads news: relays watch the object API, all others ask the relays.
+"""
+
+import asyncio
+import random
+import time
+
+from rosemarypath.errors import RosemarypathError
+from rosemarypath.log import get_logger
+from rosemarypath.membership import ROSTER
+from rosemarypath.messages import (
+    Adopted,
+    AdoptionAsk,
+    AdoptionReport,
+    ConfigurationAsk,
+    News,
+    NewsAsk,
+    RosterCopy,
+)
+from rosemarypath.roster import Roster
+from rosemarypath.spread import (
+    FLEET,
+    MANIFEST,
+    build_configuration,
+    manifest_of,
+    read_configuration,
+)
+
+__all__ = ["HOSTS", "Relay"]
+
+HOSTS = "hosts"
+ASK_TIMEOUT = 0.5
+WATCH_RETRY_SECONDS = (0.2, 1.0)
+WITHOUT_NEWS_SECONDS = 3.0
+
+_log = get_logger("relay")
+
+
+class Relay:
+    """
+    What one daemon knows of the others' revisions, and how it learns and tells news.
+
+    Options:
+
+    `membership`
+        The daemon's `Membership`.
+    `keeper`
+        The daemon's `ConfigurationKeeper`.
+    `store`
+        The `StoreClient`.
+    `mesh`
+        The `Mesh`.
+    `heartbeat`
+        Seconds between two questions to a relay.
+    """
+
+    def __init__(self, membership, keeper, store, mesh, heartbeat):
+        self._membership = membership
+        self._keeper = keeper
+        self._store = store
+        self._mesh = mesh
+        self._heartbeat = heartbeat
+        self._adopted = {}
+        self._confirmed = 0
+        self._news_at = time.monotonic()
+        self._turn = 0
+        self._tasks = []
+        self.accepted = 0
+        self.leaving = frozenset()
+        membership.report_revisions_to(self._note_adopted)
+        mesh.on(Adopted, self._on_adopted)
+        mesh.on(NewsAsk, self._on_news_ask)
+        mesh.on(RosterCopy, self._on_roster_ask)
+        mesh.on(ConfigurationAsk, self._on_configuration_ask)
+        mesh.on(AdoptionAsk, self._on_adoption_ask)
+
+    @property
+    def is_relay(self):
+        """Return whether this daemon is one of the relays."""
+        return self._membership.identity in self._membership.roster.relays()
+
+    async def start(self):
+        """Read the configuration, waiting for the object API, and start the tasks."""
+        while not await self._read_store():
+            await asyncio.sleep(random.uniform(*WATCH_RETRY_SECONDS))
+        self._tasks = [
+            asyncio.create_task(self._watch_forever(FLEET, self._take_fleet)),
+            asyncio.create_task(self._watch_forever(HOSTS, self._take_hosts)),
+            asyncio.create_task(self._ask_forever()),
+        ]
+
+    def stop(self):
+        """End the tasks."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def adoption(self):
+        """Return the `AdoptionReport` of a relay; ``None`` when none answers."""
+        if self.is_relay:
+            return self._on_adoption_ask(self._membership.identity, AdoptionAsk())
+        for relay in self._membership.roster.relays():
+            report = await self._mesh.ask(relay, AdoptionAsk(), ASK_TIMEOUT)
+            if report is not None:
+                return report
+        return None
+
+    async def _read_store(self):
+        try:
+            await self._membership.read_roster()
+            configuration, _ = await read_configuration(
+                self._store, self._keeper.current
+            )
+        except RosemarypathError as error:
+            _log.warning("the object API cannot be read: {}", error)
+            return False
+        self._keeper.adopt(configuration)
+        return True
+
+    async def _watch_forever(self, kind, take):
+        while True:
+            if not self.is_relay:
+                await asyncio.sleep(self._heartbeat)
+                continue
+            try:
+                objects, version = await self._store.list(kind)
+                for stored in objects:
+                    await take(stored)
+                async for stored in self._store.watch(kind, version):
+                    await take(stored)
+            except RosemarypathError as error:
+                _log.debug("watching {} ended: {}", kind, error)
+            await asyncio.sleep(random.uniform(*WATCH_RETRY_SECONDS))
+
+    async def _take_fleet(self, stored):
+        if stored.name == ROSTER:
+            self._membership.adopt(Roster.from_stored(stored))
+        elif stored.name == MANIFEST:
+            manifest = manifest_of(stored)
+            if manifest.revision > self._keeper.revision:
+                configuration = await build_configuration(
+                    self._store, manifest, self._keeper.current
+                )
+                self._keeper.adopt(configuration)
+            if manifest.revision > self._confirmed:
+                await self._membership.read_roster()
+                self._confirmed = manifest.revision
+        self._update_floor()
+
+    async def _take_hosts(self, stored):
+        self.leaving = frozenset(stored.spec.get("leaving", ()))
+
+    async def _ask_forever(self):
+        while True:
+            await asyncio.sleep(self._heartbeat)
+            try:
+                await self._ask_news(time.monotonic())
+                self._update_floor()
+            except Exception:
+                _log.exception("asking for news failed")
+
+    async def _ask_news(self, now):
+        self._announce()
+        if now - self._news_at > WITHOUT_NEWS_SECONDS:
+            self._news_at = now
+            await self._read_store()
+        relay = self._choose_relay()
+        if relay is None:
+            self._news_at = now
+            return
+        ask = NewsAsk(self._membership.roster.revision, self._keeper.revision)
+        news = await self._mesh.ask(relay, ask, ASK_TIMEOUT)
+        if news is None:
+            self._turn += 1
+            return
+        if self.is_relay:
+            self._turn += 1
+        self._news_at = now
+        await self._take_news(relay, news)
+
+    def _choose_relay(self):
+        """Return the relay to ask now: one of the own zone while it answers."""
+        roster = self._membership.roster
+        zone = self._membership.machine.zone if self._membership.machine else ""
+        relays = [r for r in roster.relays() if r != self._membership.identity]
+        relays = [r for r in relays if not self._membership.fencing.is_fenced(r)]
+        if not relays:
+            return None
+        relays.sort(key=lambda relay: roster.find(relay).zone != zone)
+        return relays[self._turn % len(relays)]
+
+    async def _take_news(self, relay, news):
+        membership = self._membership
+        if news.roster_revision > membership.roster.revision:
+            copy = await self._mesh.ask(relay, RosterCopy(), ASK_TIMEOUT)
+            if copy is not None:
+                membership.adopt(
+                    Roster(
+                        revision=copy.revision,
+                        machines=copy.machines,
+                        departed=copy.departed,
+                    )
+                )
+        if news.roster_revision >= membership.roster.revision:
+            for identity in news.fenced:
+                membership.learn_fenced(identity)
+        if news.barrier <= membership.roster.revision:
+            membership.learn_barrier(news.barrier)
+        self.accepted = max(self.accepted, news.accepted)
+        if not self.is_relay:
+            self.leaving = frozenset(news.leaving)
+        self._keeper.hear(news.configuration_revision, time.monotonic())
+        if news.configuration_revision > self._keeper.revision:
+            ask = ConfigurationAsk(self._keeper.revision)
+            delta = await self._mesh.ask(relay, ask, ASK_TIMEOUT)
+            if delta is not None:
+                self._keeper.apply_delta(delta)
+                self._announce()
+
+    def _announce(self):
+        """Tell all relays the own revisions until everybody has them."""
+        membership = self._membership
+        revisions = (membership.roster.revision, self._keeper.revision)
+        self._note_adopted(membership.identity, *revisions)
+        is_known = (
+            membership.ownership.barrier >= revisions[0]
+            and self.accepted >= revisions[1]
+        )
+        if is_known:
+            return
+        for relay in membership.roster.relays():
+            if relay != membership.identity:
+                self._mesh.send(relay, Adopted(*revisions))
+
+    def _note_adopted(self, identity, roster_revision, configuration_revision):
+        known = self._adopted.get(identity, (0, 0))
+        self._adopted[identity] = (
+            max(known[0], roster_revision),
+            max(known[1], configuration_revision),
+        )
+
+    def _update_floor(self):
+        """Work out the barrier and the accepted revision from what members told."""
+        membership = self._membership
+        roster = membership.roster
+        members = roster.members
+        self._note_adopted(membership.identity, roster.revision, self._keeper.revision)
+        self._adopted = {i: r for i, r in self._adopted.items() if i in members}
+        acting = [i for i in members if not membership.fencing.is_fenced(i)]
+        if not acting:
+            return
+        floors = [self._adopted.get(identity, (0, 0)) for identity in acting]
+        if min(roster_revision for roster_revision, _ in floors) >= roster.revision:
+            membership.learn_barrier(roster.revision)
+        configuration_floor = min(revision for _, revision in floors)
+        floor = min(configuration_floor, self._confirmed)
+        self.accepted = max(self.accepted, floor)
+
+    def _on_adopted(self, sender, message):
+        self._note_adopted(
+            sender, message.roster_revision, message.configuration_revision
+        )
+        self._keeper.hear(message.configuration_revision, time.monotonic())
+        self._update_floor()
+
+    def _on_news_ask(self, sender, message):
+        self._note_adopted(
+            sender, message.roster_revision, message.configuration_revision
+        )
+        membership = self._membership
+        return News(
+            membership.roster.revision,
+            self._keeper.revision,
+            membership.ownership.barrier,
+            self.accepted,
+            tuple(sorted(membership.fencing.fenced)),
+            tuple(sorted(self.leaving)),
+        )
+
+    def _on_roster_ask(self, sender, message):
+        roster = self._membership.roster
+        return RosterCopy(roster.revision, roster.machines, roster.departed)
+
+    def _on_configuration_ask(self, sender, message):
+        return self._keeper.delta_since(message.revision)
+
+    def _on_adoption_ask(self, sender, message):
+        self._update_floor()
+        return AdoptionReport(
+            dict(self._adopted),
+            tuple(sorted(self._membership.fencing.fenced)),
+            self.accepted,
+        )
--- /dev/null
+++ b/rosemarypath/roster.py
@@ -0,0 +1,155 @@
+"""
+rosemarypath.roster
+~~~~~~~~~~~~~~~~~~~
+
+The roster: which incarnations of daemons are members, kept in the object API.
+"""
+
+import msgspec
+
+from rosemarypath.hashing import rendezvous_order, spread_order
+from rosemarypath.machine import UP, Machine
+
+__all__ = ["RELAYS_PER_ZONE", "Roster", "choose_witnesses"]
+
+RELAYS_PER_ZONE = 2
+MIN_WITNESSES = 5
+
+
+class Roster(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    One revision of the membership.
+
+    Options:
+
+    `revision`
+        The object API's version of this roster; 0 for none.
+    `machines`
+        Maps each machine's name to its present incarnation.
+    `departed`
+        Maps identities that were replaced, and are not proven fenced, to their entry.
+    """
+
+    revision: int = 0
+    machines: dict[str, Machine] = {}
+    departed: dict[str, Machine] = {}
+
+    @property
+    def members(self):
+        """Return all incarnations that may still act, by identity."""
+        members = {machine.identity: machine for machine in self.machines.values()}
+        members.update(self.departed)
+        return members
+
+    @property
+    def candidates(self):
+        """Return the identities that may own resources, in order of their names."""
+        machines = sorted(self.machines.values(), key=lambda machine: machine.name)
+        return [machine.identity for machine in machines if machine.state == UP]
+
+    def find(self, identity):
+        """Return the entry of `identity`, or ``None``."""
+        name = identity.partition("/")[0]
+        machine = self.machines.get(name)
+        if machine is not None and machine.identity == identity:
+            return machine
+        return self.departed.get(identity)
+
+    def is_current(self, identity):
+        """Return whether `identity` is the present incarnation of its machine."""
+        machine = self.machines.get(identity.partition("/")[0])
+        return machine is not None and machine.identity == identity
+
+    def succession(self, resource):
+        """
+        Return the candidates for `resource`, its first owner first.
+
+        The order depends on the machines' names alone, so that a restarted machine
+        comes back to what it owned.
+        """
+        candidates = {c.partition("/")[0]: c for c in self.candidates}
+        return [candidates[name] for name in rendezvous_order(resource, candidates)]
+
+    def relays(self):
+        """Return the identities of the relays of all zones."""
+        zones = {}
+        for machine in self.machines.values():
+            zones.setdefault(machine.zone, {})[machine.name] = machine.identity
+        relays = []
+        for zone, identities in sorted(zones.items()):
+            ordered = rendezvous_order(f"relay/{zone}", identities)
+            relays.extend(identities[name] for name in ordered[:RELAYS_PER_ZONE])
+        return relays
+
+    def with_machine(self, machine):
+        """Return a roster in which `machine` is the present incarnation."""
+        machines = dict(self.machines)
+        departed = dict(self.departed)
+        replaced = machines.get(machine.name)
+        if replaced is not None and replaced.identity != machine.identity:
+            departed[replaced.identity] = replaced
+        machines[machine.name] = machine
+        return msgspec.structs.replace(self, machines=machines, departed=departed)
+
+    def without(self, identities):
+        """Return a roster without `identities`, which can never act again."""
+        machines = {
+            name: machine
+            for name, machine in self.machines.items()
+            if machine.identity not in identities
+        }
+        departed = {
+            identity: machine
+            for identity, machine in self.departed.items()
+            if identity not in identities
+        }
+        return msgspec.structs.replace(self, machines=machines, departed=departed)
+
+    def to_spec(self):
+        """Return the content to store, without the revision."""
+        return {
+            "machines": msgspec.to_builtins(self.machines),
+            "departed": msgspec.to_builtins(self.departed),
+        }
+
+    @classmethod
+    def from_stored(cls, stored):
+        """Build the roster held in a `StoredObject`."""
+        roster = msgspec.convert(stored.spec, cls)
+        return msgspec.structs.replace(roster, revision=stored.version)
+
+
+def choose_witnesses(machine, roster, unusable=frozenset()):
+    """
+    Return the identities that witness `machine`: itself and others over the zones.
+
+    There is one for each zone, at least five when there are as many machines.
+    Present witnesses that are still usable are kept.
+    """
+    others = [
+        other
+        for other in roster.machines.values()
+        if other.name != machine.name and other.identity not in unusable
+    ]
+    by_identity = {other.identity: other for other in others}
+    zones = {other.zone for other in others} | {machine.zone}
+    count = min(max(MIN_WITNESSES, len(zones)), len(others) + 1)
+    kept = [w for w in machine.witnesses if w in by_identity]
+    ordered = spread_order(
+        f"witness/{machine.name}",
+        others,
+        lambda other: other.identity,
+        lambda other: other.zone,
+    )
+    pool = kept + [o.identity for o in ordered if o.identity not in kept]
+    chosen = [machine.identity]
+    taken_zones = {machine.zone}
+    for identity in pool:
+        zone = by_identity[identity].zone
+        if len(chosen) < count and zone not in taken_zones:
+            chosen.append(identity)
+            taken_zones.add(zone)
+    for identity in pool:
+        if len(chosen) < count and identity not in chosen:
+            chosen.append(identity)
+    return tuple(chosen)
--- /dev/null
+++ b/rosemarypath/seat.py
@@ -0,0 +1,431 @@
+"""
+rosemarypath.seat
+~~~~~~~~~~~~~~~~~
+
+The owner's side of one back end: grants seats, loads and evicts adapters.
+"""
+
+import asyncio
+import time
+
+from rosemarypath.backend import ENGINE
+from rosemarypath.log import get_logger
+from rosemarypath.messages import SeatReply
+from rosemarypath.orders import ORDER_TIMEOUT
+from rosemarypath.policies import Slot, Waiter, get_policy_by_name
+from rosemarypath.policies.fair import decayed
+from rosemarypath.ramp import Ramp
+
+__all__ = ["BUSY", "NOT_OWNER", "OUT_OF_SERVICE", "REBUILDING", "SeatBroker"]
+
+BUSY = "busy"
+NOT_OWNER = "not_owner"
+OUT_OF_SERVICE = "out_of_service"
+REBUILDING = "rebuilding"
+REPORT_SECONDS = 1.0
+AUDIT_REPORTS = 10
+PARALLEL_LOADS = 2
+FAILED_LOAD_PAUSE = 0.5
+MISSED_REPORTS = 2
+
+_log = get_logger("seats")
+
+
+class _Asked:
+    """A waiting ask of `holder`, with the future that its handler awaits."""
+
+    def __init__(self, waiter, holder, future):
+        self.waiter = waiter
+        self.holder = holder
+        self.future = future
+        self.load_wait = 0.0
+
+
+class _Seat:
+    """A seat in use; `missed` counts the reports that did not list its request."""
+
+    def __init__(self, waiter, holder, granted_at):
+        self.waiter = waiter
+        self.holder = holder
+        self.granted_at = granted_at
+        self.missed = 0
+
+
+class SeatBroker:
+    """
+    Seats, queue and adapter slots of one owned back end.
+
+    Options:
+
+    `back_end`
+        The `BackEnd`.
+    `orders`
+        The `EngineOrders` to it.
+    `fence`
+        Function that returns the present fencing number, or ``None`` when this daemon
+        may not act now.
+    `permits`
+        Asynchronous function that acquires a load permit and returns a function that
+        gives it back.
+    `policy`
+        Name of the seat policy.
+    `history`
+        The event history.
+    `is_member`
+        Function that tells whether an identity may still hold seats.
+    `ask_held`
+        Asynchronous function that returns the requests that an identity holds seats
+        for, or ``None`` when it does not answer.
+    """
+
+    def __init__(
+        self,
+        back_end,
+        orders,
+        fence,
+        permits,
+        policy,
+        history,
+        is_member,
+        ask_held,
+    ):
+        self._orders = orders
+        self._fence = fence
+        self._permits = permits
+        self._is_member = is_member
+        self._ask_held = ask_held
+        self._policy = get_policy_by_name(policy)()
+        self._history = history
+        self._ramp = Ramp(back_end.cold_capacity, back_end.capacity)
+        self._seats = {}
+        self._waiting = {}
+        self._slots = {}
+        self._loads = {}
+        self._load_allowed_at = 0.0
+        self._completed = 0
+        self._missed = 0
+        self._is_ready = False
+        self._is_open = True
+        self._tasks = []
+        self.back_end = back_end
+
+    @property
+    def free(self):
+        """Return the seats that are free; negative while the ramp has shrunk."""
+        return self._ramp.limit - len(self._seats)
+
+    @property
+    def limit(self):
+        """Return how many requests the back end may run now."""
+        return self._ramp.limit
+
+    @property
+    def seats(self):
+        """Return the `Waiter` of each seat in use, by request."""
+        return {request: seat.waiter for request, seat in self._seats.items()}
+
+    @property
+    def adapters(self):
+        """Return the engine names of the adapters that are loaded."""
+        return sorted(s.adapter for s in self._slots.values() if s.is_loaded)
+
+    @property
+    def queued(self):
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    def start(self, collect_held):
+        """
+        Begin as a new owner.
+
+        `collect_held` is an asynchronous function that returns ``(Waiter, holder)``
+        for every seat held anywhere, once all members answered or are fenced.
+        """
+        self._tasks = [asyncio.create_task(self._run(collect_held))]
+
+    def stop(self):
+        """End the tasks and refuse what waits."""
+        for task in [*self._tasks, *self._loads.values()]:
+            task.cancel()
+        self._refuse_all(NOT_OWNER)
+
+    def update(self, back_end):
+        """Put a changed `back_end` rule in force."""
+        self.back_end = back_end
+        self._ramp.resize(back_end.cold_capacity, back_end.capacity)
+
+    def set_open(self, is_open):
+        """Take new requests or, with ``False``, refuse them all."""
+        if self._is_open and not is_open:
+            self._refuse_all(OUT_OF_SERVICE)
+        self._is_open = is_open
+
+    async def ask(self, message, holder, weight):
+        """Answer a `SeatAsk` with a `SeatReply`, after waiting if need be."""
+        if not self._is_open:
+            return self._refusal(OUT_OF_SERVICE)
+        if not self._is_ready:
+            return self._refusal(REBUILDING)
+        if message.request in self._seats:
+            return self._grant_reply(0.0)
+        now = time.monotonic()
+        waiter = Waiter(
+            message.request,
+            message.customer,
+            message.adapter,
+            message.tokens,
+            weight,
+            now,
+        )
+        future = asyncio.get_running_loop().create_future()
+        asked = _Asked(waiter, holder, future)
+        self._waiting[message.request] = asked
+        self._pump(now)
+        try:
+            async with asyncio.timeout(message.patience):
+                return await future
+        except TimeoutError:
+            if future.done() and not future.cancelled():
+                return future.result()
+            return self._refusal(BUSY)
+        finally:
+            if self._waiting.get(message.request) is asked:
+                del self._waiting[message.request]
+
+    def release(self, message):
+        """End the seat or the wait that a `SeatRelease` names."""
+        now = time.monotonic()
+        asked = self._waiting.pop(message.request, None)
+        if asked is not None and not asked.future.done():
+            asked.future.set_result(self._refusal(BUSY))
+        seat = self._seats.pop(message.request, None)
+        if seat is not None:
+            self._leave_slot(seat.waiter.adapter, now)
+            if message.outcome == "ran":
+                self._ramp.complete(message.seconds, message.tokens)
+            elif message.outcome == "broken":
+                self._note_restart("a request broke")
+            elif message.outcome == "adapter_missing":
+                self._slots.pop(seat.waiter.adapter, None)
+        self._pump(now)
+
+    def _is_adapter_ready(self, adapter):
+        slot = self._slots.get(adapter)
+        return not adapter or (slot is not None and slot.is_loaded)
+
+    def _pump(self, now):
+        """Seat whom the policy chooses, then start the loads it wants."""
+        if not self._is_ready or self._fence() is None:
+            return
+        while self.free > 0 and self._waiting:
+            waiting = [asked.waiter for asked in self._waiting.values()]
+            waiter = self._policy.choose(waiting, self._is_adapter_ready, now)
+            if waiter is None:
+                break
+            self._seat(waiter, now)
+        if self.back_end.kind == ENGINE:
+            self._start_loads(now)
+
+    def _seat(self, waiter, now):
+        asked = self._waiting.pop(waiter.request)
+        if asked.future.done():
+            return
+        self._policy.charge(waiter, now)
+        self._seats[waiter.request] = _Seat(waiter, asked.holder, now)
+        self._enter_slot(waiter.adapter, now)
+        asked.future.set_result(self._grant_reply(asked.load_wait))
+
+    def _enter_slot(self, adapter, now):
+        if not adapter:
+            return
+        slot = self._slots.setdefault(adapter, Slot(adapter))
+        slot.popularity = decayed(slot, now) + 1.0
+        slot.in_use += 1
+        slot.used_at = now
+
+    def _leave_slot(self, adapter, now):
+        slot = self._slots.get(adapter)
+        if slot is not None and slot.in_use > 0:
+            slot.in_use -= 1
+            slot.used_at = now
+
+    def _start_loads(self, now):
+        if now < self._load_allowed_at:
+            return
+        while len(self._loads) < PARALLEL_LOADS:
+            waiting = [
+                asked.waiter
+                for asked in self._waiting.values()
+                if asked.waiter.adapter not in self._loads
+            ]
+            waiter = self._policy.choose_load(waiting, self._is_adapter_ready, now)
+            if waiter is None:
+                return
+            victim = None
+            if len(self._slots) >= self.back_end.slots:
+                everybody = [asked.waiter for asked in self._waiting.values()]
+                victim = self._policy.choose_victim(
+                    [s for s in self._slots.values() if s.is_loaded], everybody, now
+                )
+                if victim is None:
+                    return
+                victim.is_loaded = False
+            self._slots.setdefault(waiter.adapter, Slot(waiter.adapter)).is_loaded = (
+                False
+            )
+            task = asyncio.create_task(self._load(waiter.adapter, victim))
+            self._loads[waiter.adapter] = task
+
+    async def _load(self, adapter, victim):
+        """Evict `victim` if there is one, load `adapter`, then seat its waiters."""
+        started = time.monotonic()
+        loaded = False
+        give_back = await self._permits(f"{self.back_end.name}/{adapter}")
+        try:
+            if victim is None or await self._evict(victim):
+                fence = self._fence()
+                loaded = fence is not None and await self._orders.load(adapter, fence)
+        finally:
+            give_back()
+            self._loads.pop(adapter, None)
+        now = time.monotonic()
+        if not loaded:
+            self._slots.pop(adapter, None)
+            self._load_allowed_at = now + FAILED_LOAD_PAUSE
+            asyncio.get_running_loop().call_later(
+                FAILED_LOAD_PAUSE, lambda: self._pump(time.monotonic())
+            )
+            return
+        slot = self._slots.setdefault(adapter, Slot(adapter))
+        slot.is_loaded = True
+        slot.used_at = now
+        for asked in self._waiting.values():
+            if asked.waiter.adapter == adapter:
+                asked.load_wait = now - max(started, asked.waiter.since)
+        self._pump(now)
+
+    async def _evict(self, victim):
+        fence = self._fence()
+        report = await self._orders.report()
+        is_idle = report is not None and victim.adapter not in report.running_adapters
+        if fence is None or victim.in_use or not is_idle:
+            victim.is_loaded = True
+            return False
+        if not await self._orders.unload(victim.adapter, fence):
+            await asyncio.sleep(ORDER_TIMEOUT)
+            loaded = await self._orders.loaded()
+            if loaded is None or victim.adapter in loaded:
+                victim.is_loaded = loaded is not None
+                return False
+        self._slots.pop(victim.adapter, None)
+        return True
+
+    async def _run(self, collect_held):
+        """Rebuild the state after taking over, then follow the reports."""
+        if not self.back_end.fences:
+            await asyncio.sleep(ORDER_TIMEOUT)
+        now = time.monotonic()
+        for waiter, holder in await collect_held():
+            self._seats[waiter.request] = _Seat(waiter, holder, now)
+            self._enter_slot(waiter.adapter, now)
+        if self.back_end.kind == ENGINE:
+            await self._learn_adapters()
+        self._adopt_orphans(await self._orders.report(), now)
+        self._ramp.assume(len(self._seats))
+        self._is_ready = True
+        self._history.write(
+            "owner_ready", back_end=self.back_end.name, seats=len(self._seats)
+        )
+        reports = 0
+        while True:
+            await asyncio.sleep(REPORT_SECONDS)
+            self._take_report(await self._orders.report())
+            reports += 1
+            if reports % AUDIT_REPORTS == 0:
+                await self._audit()
+
+    async def _learn_adapters(self):
+        loaded = await self._orders.loaded()
+        for adapter in loaded or ():
+            self._slots.setdefault(adapter, Slot(adapter))
+        for adapter, slot in self._slots.items():
+            slot.is_loaded = loaded is not None and adapter in loaded
+
+    def _adopt_orphans(self, report, now):
+        """Count the requests that run and that no member holds."""
+        for request in report.requests if report is not None else ():
+            if request not in self._seats:
+                waiter = Waiter(request, "", "", 0, 1.0, now)
+                self._seats[request] = _Seat(waiter, "", now)
+
+    def _reclaim(self, report, now):
+        """End the seats whose holder is fenced once their request has ended."""
+        for request, seat in list(self._seats.items()):
+            if request in report.requests or self._is_member(seat.holder):
+                seat.missed = 0
+                continue
+            seat.missed += 1
+            if seat.missed >= MISSED_REPORTS:
+                del self._seats[request]
+                self._leave_slot(seat.waiter.adapter, now)
+
+    async def _audit(self):
+        """End the seats whose holder, asked again, does not know of them."""
+        started = time.monotonic()
+        old = {
+            request: seat
+            for request, seat in self._seats.items()
+            if started - seat.granted_at > AUDIT_REPORTS * REPORT_SECONDS
+        }
+        for holder in {seat.holder for seat in old.values()}:
+            held = await self._ask_held(holder)
+            for request, seat in old.items():
+                is_lost = held is not None and request not in held
+                if seat.holder == holder and is_lost:
+                    self._seats.pop(request, None)
+                    self._leave_slot(seat.waiter.adapter, started)
+        self._pump(time.monotonic())
+
+    def _take_report(self, report):
+        if report is None:
+            self._missed += 1
+            if self._missed == MISSED_REPORTS:
+                self._note_restart("it does not answer")
+            return
+        self._missed = 0
+        if report.completed < self._completed:
+            self._note_restart("its counters began anew")
+        self._completed = report.completed
+        now = time.monotonic()
+        self._reclaim(report, now)
+        self._pump(now)
+
+    def _note_restart(self, reason):
+        """Start over: little capacity, and no adapter taken for loaded."""
+        _log.info("{} starts anew: {}", self.back_end.name, reason)
+        self._completed = 0
+        self._ramp.fail()
+        for adapter, slot in list(self._slots.items()):
+            if slot.in_use == 0 and adapter not in self._loads:
+                del self._slots[adapter]
+        if self.back_end.kind == ENGINE:
+            self._tasks.append(asyncio.create_task(self._relearn()))
+
+    async def _relearn(self):
+        await self._learn_adapters()
+        self._pump(time.monotonic())
+
+    def _refuse_all(self, reason):
+        for asked in list(self._waiting.values()):
+            if not asked.future.done():
+                asked.future.set_result(self._refusal(reason))
+        self._waiting.clear()
+
+    def _refusal(self, reason):
+        return SeatReply(False, reason, 0, self.free, self.queued)
+
+    def _grant_reply(self, load_wait):
+        fence = self._fence()
+        if fence is None:
+            return self._refusal(NOT_OWNER)
+        return SeatReply(True, "", fence, self.free, self.queued, load_wait)
--- /dev/null
+++ b/rosemarypath/store.py
@@ -0,0 +1,176 @@
+"""
+rosemarypath.store
+~~~~~~~~~~~~~~~~~~
+
+Client of the platform's object API; every call is counted.
+"""
+
+import asyncio
+import secrets
+from collections import Counter
+
+import aiohttp
+import msgspec
+
+from rosemarypath.errors import (
+    ConflictError,
+    NotFoundError,
+    StoreUnavailableError,
+    VersionGoneError,
+)
+
+__all__ = ["StoreClient", "StoredObject"]
+
+API_PREFIX = "/apis/rosemarypath/v1"
+CALL_TIMEOUT = 2.0
+WATCH_IDLE_TIMEOUT = 15.0
+WRITER = "writer"
+
+
+class StoredObject(msgspec.Struct, frozen=True):
+    """
+    An object as held by the platform.
+
+    `version` is the resource version, `spec` the content, `writer` the token of
+    the write that made this version.
+    """
+
+    name: str
+    version: int
+    spec: object
+    writer: str = ""
+
+
+def _stored(document):
+    metadata = document["metadata"]
+    return StoredObject(
+        metadata["name"],
+        int(metadata["resourceVersion"]),
+        document["spec"],
+        metadata.get("annotations", {}).get(WRITER, ""),
+    )
+
+
+class StoreClient:
+    """
+    Calls to the object API at `address` (``host:port``).
+
+    Options:
+
+    `timeout`
+        Seconds one call may take (default 2).
+    """
+
+    def __init__(self, address, timeout=CALL_TIMEOUT):
+        self._base = f"http://{address}{API_PREFIX}"
+        self._timeout = aiohttp.ClientTimeout(total=timeout)
+        self._session = None
+        self.calls = Counter()
+
+    async def close(self):
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def get(self, kind, name):
+        """Return the `StoredObject`; raises `NotFoundError`."""
+        return _stored(await self._call("GET", f"/{kind}/{name}"))
+
+    async def list(self, kind):
+        """Return ``(objects, version)`` of all objects of `kind`."""
+        document = await self._call("GET", f"/{kind}")
+        objects = [_stored(item) for item in document["items"]]
+        return objects, int(document["metadata"]["resourceVersion"])
+
+    async def create(self, kind, name, spec):
+        """
+        Create an object; raises `ConflictError` when it exists already.
+
+        An answer that was lost is resolved by reading the object back.
+        """
+        return await self._write("POST", kind, name, f"/{kind}", spec, 0)
+
+    async def update(self, kind, name, spec, version):
+        """Replace `version` of an object; raises `ConflictError` when it is older."""
+        return await self._write("PUT", kind, name, f"/{kind}/{name}", spec, version)
+
+    async def delete(self, kind, name):
+        """Remove an object; raises `NotFoundError` when there is none."""
+        await self._call("DELETE", f"/{kind}/{name}")
+
+    async def watch(self, kind, version):
+        """
+        Yield each `StoredObject` of `kind` changed after `version`.
+
+        Raises `VersionGoneError` when `version` is too old and
+        `StoreUnavailableError` when the watch breaks or falls silent.
+        """
+        self.calls["watch"] += 1
+        parameters = {"watch": "1", "resourceVersion": str(version)}
+        timeout = aiohttp.ClientTimeout(
+            sock_connect=CALL_TIMEOUT, sock_read=WATCH_IDLE_TIMEOUT
+        )
+        try:
+            async with self._get_session().get(
+                f"{self._base}/{kind}", params=parameters, timeout=timeout
+            ) as response:
+                if response.status == 410:
+                    raise VersionGoneError(f"{kind}@{version} is gone", "list anew")
+                if response.status != 200:
+                    raise self._unavailable(f"watch answered {response.status}")
+                async for line in response.content:
+                    event = msgspec.json.decode(line)
+                    if event["type"] != "BOOKMARK":
+                        yield _stored(event["object"])
+        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
+            raise self._unavailable(f"watch broke ({error!r})") from error
+
+    async def _write(self, method, kind, name, path, spec, version):
+        writer = secrets.token_hex(8)
+        metadata = {"name": name, "annotations": {WRITER: writer}}
+        if version:
+            metadata["resourceVersion"] = str(version)
+        document = {"kind": kind, "metadata": metadata, "spec": spec}
+        try:
+            return _stored(await self._call(method, path, document))
+        except StoreUnavailableError:
+            stored = await self._read_back(kind, name)
+            if stored is not None and stored.writer == writer:
+                return stored
+            raise
+
+    async def _read_back(self, kind, name):
+        try:
+            return await self.get(kind, name)
+        except NotFoundError:
+            return None
+
+    async def _call(self, method, path, document=None):
+        self.calls["read" if method == "GET" else "write"] += 1
+        body = None if document is None else msgspec.json.encode(document)
+        try:
+            async with self._get_session().request(
+                method, self._base + path, data=body
+            ) as response:
+                payload = await response.read()
+                status = response.status
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            raise self._unavailable(f"{method} {path} failed ({error!r})") from error
+        if status == 404:
+            raise NotFoundError(f"there is no {path}", "create it first")
+        if status == 409:
+            raise ConflictError(f"{path} was changed by another", "read it and retry")
+        if status >= 400:
+            raise self._unavailable(f"{method} {path} answered {status}")
+        return msgspec.json.decode(payload)
+
+    def _get_session(self):
+        if self._session is None:
+            self._session = aiohttp.ClientSession(timeout=self._timeout)
+        return self._session
+
+    @staticmethod
+    def _unavailable(message):
+        return StoreUnavailableError(
+            f"object API: {message}", "check its address and that it is up"
+        )
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,6 @@
+"""
+standins
+~~~~~~~~
+
+Small emulators of the systems that rosemarypath meets, for tests and experiments.
+"""
--- /dev/null
+++ b/standins/objectapi.py
@@ -0,0 +1,211 @@
+"""
+standins.objectapi
+~~~~~~~~~~~~~~~~~~
+
+The platform's object API: versions, conditional updates, lists and watches.
+"""
+
+import asyncio
+from collections import Counter
+from functools import partial
+
+import msgspec
+from blacksheep import Response, StreamedContent
+
+from rosemarypath.history import History
+from rosemarypath.httpserver import HttpServer, json_response
+from standins.faults import Faults
+from standins.process import build_parser, run_until_stopped
+
+__all__ = ["ObjectApi", "main"]
+
+MAX_VALUE_BYTES = 1024 * 1024
+KEPT_EVENTS = 1000
+BOOKMARK_INTERVAL = 5.0
+
+
+class ObjectApi:
+    """
+    Objects in memory, served in the manner of the declarative API.
+
+    Switches: ``down`` answers 503, ``silent`` never answers, ``delay`` waits that
+    many seconds, ``lose_answers`` carries writes out and then drops that many of
+    their answers, ``mute_watches`` stops events on watches.
+    """
+
+    def __init__(self, history):
+        self._history = history
+        self._objects = {}
+        self._version = 0
+        self._events = []
+        self._changed = asyncio.Condition()
+        self._calls = Counter()
+        self.faults = Faults(
+            {
+                "down": False,
+                "silent": False,
+                "delay": 0.0,
+                "lose_answers": 0,
+                "mute_watches": False,
+            }
+        )
+
+    def add_routes(self, server):
+        """Serve the API on `server`."""
+        prefix = "/apis/rosemarypath/v1"
+        server.add("GET", prefix + "/{kind}", self._list_or_watch)
+        server.add("POST", prefix + "/{kind}", self._create)
+        server.add("GET", prefix + "/{kind}/{name}", self._get)
+        server.add("PUT", prefix + "/{kind}/{name}", self._put)
+        server.add("DELETE", prefix + "/{kind}/{name}", self._delete)
+        server.add("GET", "/calls", self._show_calls)
+        self.faults.add_routes(server)
+
+    async def _show_calls(self, request):
+        return json_response(200, self._calls)
+
+    async def _enter(self, call):
+        """Count `call` and apply the faults; return a refusal or ``None``."""
+        self._calls[call] += 1
+        if self.faults["silent"]:
+            await self.faults.hang()
+        if self.faults["delay"]:
+            await asyncio.sleep(self.faults["delay"])
+        if self.faults["down"]:
+            return json_response(503, {"reason": "ServiceUnavailable"})
+        return None
+
+    async def _leave(self, document):
+        """Return the answer to a write, unless it is to be lost."""
+        if self.faults["lose_answers"] > 0:
+            self.faults._values["lose_answers"] -= 1
+            await self.faults.hang()
+        return json_response(200, document)
+
+    async def _list_or_watch(self, request):
+        kind = request.route_values["kind"]
+        if "watch" in request.query:
+            return await self._watch(kind, int(request.query["resourceVersion"][0]))
+        refusal = await self._enter("read")
+        if refusal is not None:
+            return refusal
+        items = [item for (k, _), item in self._objects.items() if k == kind]
+        metadata = {"resourceVersion": str(self._version)}
+        return json_response(200, {"metadata": metadata, "items": items})
+
+    async def _get(self, request):
+        refusal = await self._enter("read")
+        if refusal is not None:
+            return refusal
+        values = request.route_values
+        stored = self._objects.get((values["kind"], values["name"]))
+        if stored is None:
+            return json_response(404, {"reason": "NotFound"})
+        return json_response(200, stored)
+
+    async def _create(self, request):
+        body = await request.read()
+        refusal = await self._enter("write")
+        if refusal is not None:
+            return refusal
+        if len(body) > MAX_VALUE_BYTES:
+            return json_response(413, {"reason": "RequestEntityTooLarge"})
+        document = msgspec.json.decode(body)
+        identity = (request.route_values["kind"], document["metadata"]["name"])
+        if identity in self._objects:
+            return json_response(409, {"reason": "AlreadyExists"})
+        return await self._leave(await self._store(identity, document, "ADDED"))
+
+    async def _put(self, request):
+        body = await request.read()
+        refusal = await self._enter("write")
+        if refusal is not None:
+            return refusal
+        if len(body) > MAX_VALUE_BYTES:
+            return json_response(413, {"reason": "RequestEntityTooLarge"})
+        document = msgspec.json.decode(body)
+        values = request.route_values
+        identity = (values["kind"], values["name"])
+        stored = self._objects.get(identity)
+        if stored is None:
+            return json_response(404, {"reason": "NotFound"})
+        expected = document["metadata"].get("resourceVersion")
+        if expected != stored["metadata"]["resourceVersion"]:
+            return json_response(409, {"reason": "Conflict"})
+        return await self._leave(await self._store(identity, document, "MODIFIED"))
+
+    async def _delete(self, request):
+        refusal = await self._enter("write")
+        if refusal is not None:
+            return refusal
+        values = request.route_values
+        stored = self._objects.pop((values["kind"], values["name"]), None)
+        if stored is None:
+            return json_response(404, {"reason": "NotFound"})
+        return await self._leave(stored)
+
+    async def _store(self, identity, document, event_type):
+        self._version += 1
+        document["metadata"]["resourceVersion"] = str(self._version)
+        self._objects[identity] = document
+        event = {"type": event_type, "object": document}
+        async with self._changed:
+            self._events.append((self._version, identity[0], event))
+            del self._events[:-KEPT_EVENTS]
+            self._changed.notify_all()
+        self._history.write(
+            "stored",
+            object_kind=identity[0],
+            name=identity[1],
+            version=self._version,
+            revision=_revision_of(document["spec"]),
+        )
+        return document
+
+    async def _watch(self, kind, version):
+        refusal = await self._enter("watch")
+        if refusal is not None:
+            return refusal
+        oldest = self._events[0][0] if self._events else self._version + 1
+        if version < oldest - 1:
+            return json_response(410, {"reason": "Gone"})
+        content = StreamedContent(
+            b"application/json", partial(self._watch_events, kind, version)
+        )
+        return Response(200, None, content)
+
+    async def _watch_events(self, kind, version):
+        while not self.faults["down"]:
+            if not self.faults["mute_watches"]:
+                for number, event_kind, event in list(self._events):
+                    if number > version and event_kind == kind:
+                        yield msgspec.json.encode(event) + b"\n"
+                version = self._version
+            try:
+                async with self._changed:
+                    await asyncio.wait_for(self._changed.wait(), BOOKMARK_INTERVAL)
+            except asyncio.TimeoutError:
+                if not self.faults["mute_watches"]:
+                    yield b'{"type":"BOOKMARK"}\n'
+
+
+def _revision_of(spec):
+    return spec.get("revision", 0) if isinstance(spec, dict) else 0
+
+
+def main(args=None):
+    """Run the stand-in as a process; return its exit code."""
+    options = build_parser("object API stand-in").parse_args(args)
+    history = History(options.history, options.name or "object-api")
+
+    async def serve():
+        server = HttpServer(options.listen)
+        ObjectApi(history).add_routes(server)
+        await run_until_stopped(server)
+
+    asyncio.run(serve())
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/standins/process.py
@@ -0,0 +1,36 @@
+"""
+standins.process
+~~~~~~~~~~~~~~~~
+
+Runs a stand-in as a process of its own until it is told to stop.
+"""
+
+import argparse
+import asyncio
+import signal
+
+__all__ = ["build_parser", "run_until_stopped"]
+
+
+def build_parser(description):
+    """Return a parser with the options that all stand-ins share."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--listen", required=True, metavar="HOST:PORT")
+    parser.add_argument("--history", default="", metavar="FILE")
+    parser.add_argument("--name", default="", help="name in the history")
+    return parser
+
+
+async def run_until_stopped(server, *background):
+    """Serve until SIGTERM or SIGINT; `background` are coroutines run meanwhile."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await server.start()
+    tasks = [asyncio.create_task(coroutine) for coroutine in background]
+    print("ready", flush=True)
+    await stopped.wait()
+    for task in tasks:
+        task.cancel()
+    await server.stop(grace=1)
