--- a/Makefile
+++ b/Makefile
@@ -18,9 +18,9 @@
 	$(BIN)/python -m bench.demo
 
 lint: setup
-	$(BIN)/black --check --quiet rosemarypath standins bench tests
-	$(BIN)/isort --check --quiet rosemarypath standins bench tests
-	$(BIN)/flake8 rosemarypath standins bench tests
+	$(BIN)/black --check --quiet rosemarypath standins bench proofs tests
+	$(BIN)/isort --check --quiet rosemarypath standins bench proofs tests
+	$(BIN)/flake8 rosemarypath standins bench proofs tests
 
 test: lint
 	$(BIN)/python -m pytest
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -58,6 +58,16 @@
         Maps each customer to the options of its rule.
     `engine_options`, `engine_rule`
         Options of the engines' processes, and of their rules.
+    `weight_rate`
+        Loads a second that the weight store serves.
+    `policy`, `timing`
+        Settings of the daemons.
+    `wired`
+        Whether the daemons' connections go over wires that can be cut.
+    `deadline`
+        Seconds that the routes allow.
+    `open_routes`
+        How many of the adapters have open routes, counted from the last.
     """
 
     machines: int = 2
@@ -70,8 +80,10 @@
     engine_rule: dict = field(default_factory=dict)
     weight_rate: float = 4.0
     policy: str = "fair"
+    wired: bool = False
     timing: dict = field(default_factory=dict)
     deadline: float = 30.0
+    open_routes: int = 0
 
 
 class Fleet:
@@ -85,10 +97,11 @@
         self._directory = Path(directory)
         self._directory.mkdir(parents=True, exist_ok=True)
         self._processes = {}
-        self._commands = {}
+        self._dial = {}
         self.plan = plan
         self.addresses = {}
         self.secrets = {}
+        self.spare_secrets = {}
         self.extra_rules = []
 
     def __enter__(self):
@@ -113,11 +126,21 @@
         """Return the names of the plain services' replicas."""
         return [f"service-{number}" for number in range(1, self.plan.services + 1)]
 
+    @property
+    def directory(self):
+        """Return where the fleet's files are."""
+        return self._directory
+
     @property
     def histories(self):
         """Return the paths of all event histories."""
         return sorted(self._directory.glob("*.jsonl"))
 
+    def customer_of(self, number):
+        """Return the customer that owns adapter `number`."""
+        customers = list(self.plan.customers)
+        return customers[number % len(customers)]
+
     def zone_of(self, name):
         """Return the zone of a machine or a back end."""
         number = int(name.rsplit("-", 1)[1])
@@ -134,6 +157,8 @@
     def start(self):
         """Start the stand-ins, put the rules in force, start the daemons."""
         self._choose_addresses()
+        if self.plan.wired:
+            self._start_wires()
         self.start_stand_ins()
         rules = self._directory / "fleet.rules"
         rules.write_text("\n".join([*self.rules(), *self.extra_rules]) + "\n")
@@ -288,11 +313,12 @@
         for customer, options in self.plan.customers.items():
             lines.append(format_rule("customer", customer, options, OPERATOR))
             self.secrets[customer] = new_key()
-            values = {
-                "digest": hash_key(self.secrets[customer]),
-                "customer": customer,
-            }
-            lines.append(format_rule("key", f"{customer}-1", values, OPERATOR))
+            self.spare_secrets[customer] = new_key()
+            secrets = (self.secrets[customer], self.spare_secrets[customer])
+            for number, secret in enumerate(secrets, start=1):
+                values = {"digest": hash_key(secret), "customer": customer}
+                name = f"{customer}-{number}"
+                lines.append(format_rule("key", name, values, OPERATOR))
         return lines
 
     def _adapter_rules(self):
@@ -303,10 +329,11 @@
             lines.append(format_rule("adapter", f"a{number}", values, OPERATOR))
             values = {
                 "adapter": f"a{number}",
-                "customer": customers[number % len(customers)],
                 "idempotent": "yes",
                 "deadline": self.plan.deadline,
             }
+            if number < self.plan.adapters - self.plan.open_routes:
+                values["customer"] = self.customer_of(number)
             lines.append(format_rule("route", f"a{number}", values, OPERATOR))
         if self.plan.services:
             for customer in customers:
@@ -322,14 +349,44 @@
         return lines
 
     def _choose_addresses(self):
-        names = ["object-api", "weight-store", *self.back_end_names()]
+        names = ["wires", "object-api", "weight-store", *self.back_end_names()]
         for name in self.machine_names:
             names += [name, f"{name}/peers", f"{name}/operators"]
         for name, port in zip(names, free_ports(len(names))):
             self.addresses[name] = f"{HOST}:{port}"
 
+    def set_wires(self, match, mode):
+        """Set the mode of the wires whose ``SOURCE>TARGET`` matches."""
+        self.post(self.addresses["wires"], "/set", {"match": match, "mode": mode})
+
+    def _start_wires(self):
+        targets = ["object-api", *self.back_end_names()]
+        targets += [f"{name}/peers" for name in self.machine_names]
+        pairs = [
+            (name, target)
+            for name in self.machine_names
+            for target in targets
+            if not target.startswith(f"{name}/")
+        ]
+        wires = []
+        for (source, target), port in zip(pairs, free_ports(len(pairs))):
+            listen = f"{HOST}:{port}"
+            self._dial.setdefault(source, {})[self.addresses[target]] = listen
+            wires.append(
+                {
+                    "name": f"{source}>{target}",
+                    "listen": listen,
+                    "target": self.addresses[target],
+                }
+            )
+        path = self._directory / "wires.json"
+        path.write_text(json.dumps(wires))
+        self._spawn_stand_in("wires", "wire", ["--wires", str(path)])
+        self.wait_ready("wires")
+
     def _settings(self, name):
         return {
+            "dial": self._dial.get(name, {}),
             "machine": name,
             "zone": self.zone_of(name),
             "callers_address": self.addresses[name],
@@ -349,7 +406,6 @@
 
     def _spawn(self, name, command):
         log = open(self._directory / f"{name}.log", "ab")
-        self._commands[name] = command
         self._processes[name] = subprocess.Popen(
             command,
             stdout=subprocess.PIPE,
--- /dev/null
+++ b/proofs/__init__.py
@@ -0,0 +1,6 @@
+"""
+proofs
+~~~~~~
+
+Checks what must always hold on the event histories of faulty runs.
+"""
--- /dev/null
+++ b/proofs/faults.py
@@ -0,0 +1,334 @@
+"""
+proofs.faults
+~~~~~~~~~~~~~
+
+The faults of a run, filled into a registry; a seed draws their plan.
+"""
+
+import random
+from dataclasses import dataclass
+
+__all__ = ["Fault", "draw_plan", "fault", "get_fault_by_name", "known_faults"]
+
+_faults = {}
+FIRST_SECONDS = 4.0
+SPACING_SECONDS = 4.5
+
+
+@dataclass(frozen=True)
+class Fault:
+    """One fault of a plan: `name` at `at` seconds for `seconds`, on `target`."""
+
+    at: float
+    name: str
+    target: str
+    seconds: float
+
+
+def fault(name, targets, seconds):
+    """
+    Register a pair of functions, begin and end, as the fault `name`.
+
+    `targets` is ``machine``, ``engine``, ``service``, ``zone`` or empty; `seconds`
+    the shortest and the longest time it lasts.
+    """
+
+    def register(cls):
+        cls.name = name
+        cls.targets = targets
+        cls.seconds = seconds
+        _faults[name] = cls
+        return cls
+
+    return register
+
+
+def get_fault_by_name(name):
+    """Return the class of the fault `name`; raises `KeyError`."""
+    return _faults[name]
+
+
+def known_faults():
+    """Return the names of all faults."""
+    return sorted(_faults)
+
+
+def draw_plan(seed, fleet, names=None):
+    """
+    Return the faults of one run, drawn from `seed`.
+
+    Each fault comes once alone, in an order of the seed's choice; every third is
+    joined by another at the same time, and one comes twice in a row.
+    """
+    drawn = random.Random(seed)
+    order = list(names or known_faults())
+    drawn.shuffle(order)
+    plan = []
+    at = FIRST_SECONDS
+    twice = drawn.choice(order)
+    for number, name in enumerate(order):
+        chosen = [name]
+        if number % 3 == 2:
+            chosen.append(drawn.choice(order))
+        if name == twice:
+            chosen.append(name)
+        longest = 0.0
+        for each in chosen:
+            low, high = _faults[each].seconds
+            seconds = drawn.uniform(low, high)
+            target = _draw_target(drawn, _faults[each].targets, fleet)
+            plan.append(Fault(at + drawn.uniform(0, 1), each, target, seconds))
+            longest = max(longest, seconds)
+        at += max(SPACING_SECONDS, longest + 1.5)
+    return sorted(plan, key=lambda planned: planned.at)
+
+
+def _draw_target(drawn, kind, fleet):
+    choices = {
+        "machine": fleet.machine_names,
+        "engine": fleet.engine_names,
+        "service": fleet.service_names,
+        "zone": list(fleet.plan.zones),
+        "customer": list(fleet.plan.customers),
+        "adapter": [f"a{n}" for n in range(fleet.plan.adapters)],
+    }
+    return drawn.choice(choices[kind]) if kind else ""
+
+
+class _Steps:
+    """Base of the faults; `run` gives the fleet, the operator and the history."""
+
+    name = ""
+    targets = ""
+    seconds = (2.0, 4.0)
+
+    def begin(self, run, target):
+        """Bring the fault about."""
+
+    def end(self, run, target):
+        """Mend it."""
+
+
+@fault("kill_machine", "machine", (3.0, 5.0))
+class KillMachine(_Steps):
+    """Kills a daemon and starts it anew."""
+
+    def begin(self, run, target):
+        run.fleet.kill(target)
+
+    def end(self, run, target):
+        run.restart_machine(target)
+
+
+@fault("stop_machine", "machine", (6.0, 8.0))
+class StopMachine(_Steps):
+    """Stops a daemon gracefully and starts it anew."""
+
+    def begin(self, run, target):
+        run.begin_stop(target)
+
+    def end(self, run, target):
+        run.end_stop(target)
+        run.restart_machine(target)
+
+
+@fault("pause_machine", "machine", (3.0, 5.0))
+class PauseMachine(_Steps):
+    """Freezes a daemon for longer than its lease."""
+
+    def begin(self, run, target):
+        run.fleet.pause(target)
+
+    def end(self, run, target):
+        run.fleet.resume(target)
+
+
+class _WireFault(_Steps):
+    match = "{target}>*"
+    mode = "cut"
+
+    def begin(self, run, target):
+        run.fleet.set_wires(self.match.format(target=target), self.mode)
+
+    def end(self, run, target):
+        run.fleet.set_wires(self.match.format(target=target), "pass")
+
+
+@fault("cut_machine_out", "machine", (3.0, 5.0))
+class CutMachineOut(_WireFault):
+    """Cuts everything that a daemon sends."""
+
+
+@fault("cut_machine_in", "machine", (3.0, 5.0))
+class CutMachineIn(_WireFault):
+    """Cuts what other daemons send to one: a one-way cut."""
+
+    match = "*>{target}/peers"
+
+
+@fault("silence_machine", "machine", (3.0, 5.0))
+class SilenceMachine(_WireFault):
+    """Keeps a daemon's connections open and passes nothing."""
+
+    mode = "silent"
+
+
+@fault("cut_from_store", "machine", (3.0, 5.0))
+class CutFromStore(_WireFault):
+    """Cuts a daemon from the object API."""
+
+    match = "{target}>object-api"
+
+
+@fault("hush_links", "machine", (3.0, 4.0))
+class HushLinks(_WireFault):
+    """Silences a daemon's open connections for good, while new ones work."""
+
+    mode = "hush"
+
+
+@fault("hush_engine", "engine", (3.0, 4.0))
+class HushEngine(_WireFault):
+    """Silences the open connections to an engine for good."""
+
+    match = "*>{target}"
+    mode = "hush"
+
+
+class _Switch(_Steps):
+    """Sets switches of a stand-in and sets them back."""
+
+    stand_in = ""
+    switches = {}
+    normal = {}
+
+    def begin(self, run, target):
+        run.fleet.fault(target or self.stand_in, **self.switches)
+
+    def end(self, run, target):
+        run.fleet.fault(target or self.stand_in, **self.normal)
+
+
+@fault("store_down", "", (4.0, 8.0))
+class StoreDown(_Switch):
+    """The object API refuses everything."""
+
+    stand_in = "object-api"
+    switches = {"down": True}
+    normal = {"down": False}
+
+
+@fault("store_slow", "", (3.0, 5.0))
+class StoreSlow(_Switch):
+    """The object API takes most of a second for each call."""
+
+    stand_in = "object-api"
+    switches = {"delay": 0.8}
+    normal = {"delay": 0.0}
+
+
+@fault("store_loses_answers", "", (2.0, 3.0))
+class StoreLosesAnswers(_Switch):
+    """Writes take effect and their answers are lost."""
+
+    stand_in = "object-api"
+    switches = {"lose_answers": 5}
+    normal = {"lose_answers": 0}
+
+
+@fault("watches_mute", "", (3.0, 5.0))
+class WatchesMute(_Switch):
+    """Watches stay open and tell nothing."""
+
+    stand_in = "object-api"
+    switches = {"mute_watches": True}
+    normal = {"mute_watches": False}
+
+
+@fault("weights_slow", "", (3.0, 5.0))
+class WeightsSlow(_Switch):
+    """The weight store is four times as slow."""
+
+    stand_in = "weight-store"
+    switches = {"slowdown": 4.0}
+    normal = {"slowdown": 1.0}
+
+
+@fault("weights_down", "", (2.0, 4.0))
+class WeightsDown(_Switch):
+    """The weight store refuses loads."""
+
+    stand_in = "weight-store"
+    switches = {"down": True}
+    normal = {"down": False}
+
+
+@fault("engine_silent", "engine", (2.0, 3.0))
+class EngineSilent(_Switch):
+    """An engine accepts requests and does not answer on their connections."""
+
+    switches = {"silent_requests": 3}
+    normal = {"silent_requests": 0}
+
+
+@fault("engine_stalls", "engine", (2.0, 3.0))
+class EngineStalls(_Switch):
+    """An engine stops its steps for a while."""
+
+    switches = {"stall": True}
+    normal = {"stall": False}
+
+
+@fault("service_loses_answers", "service", (2.0, 3.0))
+class ServiceLosesAnswers(_Switch):
+    """A plain service takes effect and does not answer."""
+
+    switches = {"lose_answers": 2}
+    normal = {"lose_answers": 0}
+
+
+@fault("engine_restarts", "engine", (2.0, 3.0))
+class EngineRestarts(_Steps):
+    """An engine restarts empty."""
+
+    def begin(self, run, target):
+        run.fleet.post(run.fleet.addresses[target], "/restart", {})
+
+
+@fault("zone_out", "zone", (5.0, 7.0))
+class ZoneOut(_Steps):
+    """Operators take a zone out and bring it back."""
+
+    def begin(self, run, target):
+        run.operator.zone_out(target)
+
+    def end(self, run, target):
+        run.operator.zone_in(target)
+
+
+@fault("leaving", "engine", (6.0, 7.0))
+class Leaving(_Steps):
+    """The platform lists an engine as leaving."""
+
+    def begin(self, run, target):
+        run.operator.leaving(target)
+
+    def end(self, run, target):
+        run.operator.back(target)
+
+
+@fault("withdraw_key", "customer", (2.0, 3.0))
+class WithdrawKey(_Steps):
+    """Operators withdraw a key that callers are using."""
+
+    def begin(self, run, target):
+        run.operator.withdraw(target)
+
+
+@fault("new_version", "adapter", (2.0, 3.0))
+class NewVersion(_Steps):
+    """Two operators race, one of them to give an adapter a new version."""
+
+    def begin(self, run, target):
+        run.operator.new_version(target)
+        run.operator.new_version("a0")
--- /dev/null
+++ b/proofs/operator.py
@@ -0,0 +1,181 @@
+"""
+proofs.operator
+~~~~~~~~~~~~~~~
+
+The operators of a run: change the configuration and record what was accepted.
+"""
+
+import asyncio
+import threading
+import time
+
+from rosemarypath.applying import change_rule, read_adoption, set_option
+from rosemarypath.customer import hash_key
+from rosemarypath.errors import ConflictError, NotFoundError, RosemarypathError
+from rosemarypath.relay import HOSTS
+from rosemarypath.store import StoreClient
+
+__all__ = ["Operator"]
+
+ACCEPT_SECONDS = 60.0
+POLL_SECONDS = 0.05
+RETRY_SECONDS = 0.3
+WHO = "the proofs"
+
+
+class Operator:
+    """
+    Changes rules in threads of their own, since each waits for acceptance.
+
+    `fleet` is the running `Fleet`, `history` the operators' event history.
+    """
+
+    def __init__(self, fleet, history):
+        self._fleet = fleet
+        self._history = history
+        self._threads = []
+        self._lock = threading.Lock()
+        self._versions = {}
+        self._leaving = set()
+        self._zones_in = set()
+
+    def wait(self):
+        """Wait until every change ended."""
+        for thread in self._threads:
+            thread.join(ACCEPT_SECONDS)
+
+    def zone_out(self, zone):
+        """Take a zone out."""
+        self._zones_in.discard(zone)
+        self._start(self._set_zone, zone, "no")
+
+    def zone_in(self, zone):
+        """Bring a zone back."""
+        self._note("zone_in_begun", zone=zone)
+        self._zones_in.add(zone)
+        self._start(self._set_zone, zone, "yes")
+
+    def withdraw(self, customer):
+        """Withdraw the spare key of a customer."""
+        self._start(self._withdraw, customer)
+
+    def new_version(self, adapter):
+        """Give an adapter its next version."""
+        self._start(self._new_version, adapter)
+
+    def leaving(self, back_end):
+        """List a back end as leaving."""
+        self._leaving.add(back_end)
+        self._start(self._write_hosts, back_end, "leaving_set")
+
+    def back(self, back_end):
+        """List a back end as live again."""
+        self._leaving.discard(back_end)
+        self._note("leaving_ended", back_end=back_end)
+        self._start(self._write_hosts, back_end, "")
+
+    def _start(self, function, *words):
+        thread = threading.Thread(
+            target=lambda: asyncio.run(function(*words)), daemon=True
+        )
+        thread.start()
+        self._threads.append(thread)
+
+    def _note(self, kind, **fields):
+        with self._lock:
+            self._history.write(kind, **fields)
+
+    async def _set_zone(self, zone, accepting):
+        def change(line):
+            return set_option(line, "accepting", accepting, WHO)
+
+        revision = await self._change("zone", zone, change)
+        was_out = accepting == "no" and zone not in self._zones_in
+        if revision and was_out:
+            self._note("zone_out_accepted", zone=zone, revision=revision)
+
+    async def _withdraw(self, customer):
+        name = f"{customer}-2"
+
+        def change(line):
+            return set_option(line, "withdrawn", "yes", WHO)
+
+        revision = await self._change("key", name, change)
+        if revision:
+            digest = hash_key(self._fleet.spare_secrets[customer])
+            self._note("withdraw_accepted", key=digest, revision=revision)
+
+    async def _new_version(self, adapter):
+        with self._lock:
+            self._versions[adapter] = self._versions.get(adapter, 1) + 1
+            version = str(self._versions[adapter])
+
+        def change(line):
+            return set_option(line, "version", version, WHO)
+
+        def stored(revision):
+            self._note(
+                "version_set", adapter=adapter, version=version, revision=revision
+            )
+
+        await self._change("adapter", adapter, change, stored)
+
+    async def _change(self, kind, name, change, stored=lambda revision: None):
+        """Change one rule and wait for acceptance; return the revision or 0."""
+        store = StoreClient(self._fleet.addresses["object-api"])
+        try:
+            revision = await self._store(store, kind, name, change)
+            stored(revision)
+            if await self._wait_accepted(revision):
+                self._note("accepted", revision=revision)
+                return revision
+            self._note("not_accepted", revision=revision)
+            return 0
+        finally:
+            await store.close()
+
+    async def _store(self, store, kind, name, change):
+        while True:
+            try:
+                revision, _ = await change_rule(store, kind, name, change)
+                return revision
+            except RosemarypathError:
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _wait_accepted(self, revision):
+        deadline = time.monotonic() + ACCEPT_SECONDS
+        while time.monotonic() < deadline:
+            for name in self._fleet.machine_names:
+                address = self._fleet.operators_address(name)
+                try:
+                    adoption = await read_adoption(address, revision)
+                except RosemarypathError:
+                    continue
+                if adoption.accepted >= revision:
+                    return True
+            await asyncio.sleep(POLL_SECONDS)
+        return False
+
+    async def _write_hosts(self, back_end, event):
+        store = StoreClient(self._fleet.addresses["object-api"])
+        try:
+            while not await self._try_write_hosts(store):
+                await asyncio.sleep(RETRY_SECONDS)
+            if event:
+                self._note(event, back_end=back_end)
+        finally:
+            await store.close()
+
+    async def _try_write_hosts(self, store):
+        spec = {"leaving": sorted(self._leaving)}
+        try:
+            try:
+                stored = await store.get(HOSTS, "list")
+                await store.update(HOSTS, "list", spec, stored.version)
+            except NotFoundError:
+                await store.create(HOSTS, "list", spec)
+        except ConflictError:
+            return False
+        except RosemarypathError:
+            return False
+        return True
--- /dev/null
+++ b/proofs/run.py
@@ -0,0 +1,261 @@
+"""
+proofs.run
+~~~~~~~~~~
+
+Runs a fleet under load and faults drawn from a seed, then checks its histories.
+"""
+
+import argparse
+import json
+import shutil
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+from bench.fleet import Fleet, FleetPlan
+from proofs.events import Run
+from proofs.faults import draw_plan, get_fault_by_name
+from proofs.operator import Operator
+from proofs.rules import check_all
+from rosemarypath.history import History
+
+__all__ = ["FaultyRun", "main"]
+
+SETTLE_SECONDS = 8.0
+STOP_SECONDS = 60.0
+SHOWN_BREAKS = 5
+CUSTOMERS = {
+    "dryers": {"rate": 1500, "burst": 3000, "weight": 2},
+    "dealers": {"rate": 600, "burst": 1200},
+    "farmers": {"rate": 600, "burst": 1200, "priority": 0},
+    "elders": {"rate": 300, "burst": 900},
+    "clerks": {"rate": 150, "burst": 600},
+}
+SHARES = {"dryers": 5, "dealers": 3, "farmers": 3, "elders": 2, "clerks": 3}
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
+MAX_TOKENS = 24
+
+
+def fleet_plan(machines=9):
+    """Return the shape of the fleet that the proofs run on."""
+    return FleetPlan(
+        machines=machines,
+        engines=6,
+        services=4,
+        zones=ZONES,
+        adapters=60,
+        open_routes=4,
+        customers=CUSTOMERS,
+        engine_options={"step-ms": 15},
+        wired=True,
+        timing={"first_byte": 4.0, "between_bytes": 2.0},
+        deadline=20.0,
+    )
+
+
+class FaultyRun:
+    """
+    One run on a started fleet.
+
+    Options:
+
+    `fleet`
+        The running `Fleet`.
+    `seed`
+        What faults and load are drawn from.
+    `rate`
+        Requests a second.
+    `faults`
+        Names of the faults to draw from (default all).
+    """
+
+    def __init__(self, fleet, seed, rate=25.0, faults=None):
+        self._seed = seed
+        self._rate = rate
+        self._history = History(str(fleet.directory / "operator.jsonl"), "operator")
+        self._stops = 0
+        self._restarts = []
+        self.fleet = fleet
+        self.operator = Operator(fleet, self._history)
+        self.plan = draw_plan(seed, fleet, faults)
+
+    def execute(self):
+        """Bring the faults about under load; return when all is mended."""
+        self._note_contracts()
+        length = max(f.at + f.seconds for f in self.plan) + SETTLE_SECONDS
+        callers = self._start_callers(length)
+        self._play(time.monotonic())
+        callers.wait()
+        self.operator.wait()
+        for thread in self._restarts:
+            thread.join(STOP_SECONDS)
+        self._history.close()
+
+    def restart_machine(self, name):
+        """Start a daemon anew, without waiting until it is ready."""
+
+        def restart():
+            if self.fleet.process(name).poll() is None:
+                return
+            self.fleet.start_machine(name)
+            try:
+                self.fleet.wait_ready(name)
+            except RuntimeError as error:
+                print(error, file=sys.stderr)
+
+        thread = threading.Thread(target=restart, daemon=True)
+        thread.start()
+        self._restarts.append(thread)
+
+    def begin_stop(self, name):
+        """Ask a daemon to stop gracefully, and note how long that takes."""
+        self._stops += 1
+        stop = self._stops
+        process = self.fleet.process(name)
+        if process.poll() is not None:
+            return
+        address = self.fleet.callers_address(name)
+        self._history.write("stop_begun", machine=name, stop=stop, address=address)
+        process.terminate()
+
+        def wait():
+            process.wait(STOP_SECONDS)
+            self._history.write("stop_ended", machine=name, stop=stop)
+
+        thread = threading.Thread(target=wait, daemon=True)
+        thread.start()
+        self._restarts.append(thread)
+
+    def end_stop(self, name):
+        """Wait until a daemon has stopped."""
+        self.fleet.process(name).wait(STOP_SECONDS)
+
+    def _play(self, started):
+        steps = []
+        for planned in self.plan:
+            steps.append((planned.at, "begin", planned))
+            steps.append((planned.at + planned.seconds, "end", planned))
+        for at, step, planned in sorted(steps, key=lambda s: s[0]):
+            time.sleep(max(0.0, started + at - time.monotonic()))
+            self._history.write(
+                f"fault_{step}", fault=planned.name, target=planned.target
+            )
+            fault = get_fault_by_name(planned.name)()
+            try:
+                getattr(fault, step)(self, planned.target)
+            except OSError as error:
+                self._history.write("fault_failed", error=repr(error))
+
+    def _note_contracts(self):
+        plan = self.fleet.plan
+        for customer, options in plan.customers.items():
+            self._history.write(
+                "contract",
+                customer=customer,
+                rate=options["rate"],
+                burst=options["burst"],
+            )
+        for name in self.fleet.back_end_names():
+            zone = self.fleet.zone_of(name)
+            self._history.write("back_end_zone", back_end=name, zone=zone)
+        for number in range(plan.adapters - plan.open_routes):
+            owner = self.fleet.customer_of(number)
+            self._history.write("route_owner", route=f"a{number}", customer=owner)
+
+    def _start_callers(self, seconds):
+        plan = {
+            "machines": [
+                self.fleet.callers_address(name) for name in self.fleet.machine_names
+            ],
+            "seed": self._seed,
+            "rate": self._rate,
+            "seconds": seconds,
+            "tries": 6,
+            "customers": self._caller_customers(),
+        }
+        path = self.fleet.directory / "callers.json"
+        path.write_text(json.dumps(plan))
+        history = self.fleet.directory / "callers.jsonl"
+        words = ["--plan", str(path), "--history", str(history)]
+        return subprocess.Popen([sys.executable, "-m", "bench.callers", *words])
+
+    def _caller_customers(self):
+        plan = self.fleet.plan
+        entries = []
+        for name in plan.customers:
+            models = [
+                f"a{n}"
+                for n in range(plan.adapters)
+                if self.fleet.customer_of(n) == name
+                or n >= plan.adapters - plan.open_routes
+            ]
+            entry = {
+                "name": name,
+                "secret": self.fleet.secrets[name],
+                "share": SHARES.get(name, 1),
+                "models": models,
+                "service": f"dispatch-{name}",
+                "service_share": 0.25,
+                "max_tokens": MAX_TOKENS,
+                "prompts": 4,
+                "prompt_bytes": 120,
+            }
+            entries.append(entry)
+            spare = {"secret": self.fleet.spare_secrets[name], "share": 0.5}
+            entries.append({**entry, **spare})
+        return entries
+
+
+def prove(seed, directory, machines=9, faults=None, rate=25.0):
+    """Run once and return the verdicts of all rules."""
+    directory = Path(directory)
+    if directory.exists():
+        shutil.rmtree(directory)
+    with Fleet(fleet_plan(machines), directory) as fleet:
+        fleet.wait_in_standing()
+        run = FaultyRun(fleet, seed, rate, faults)
+        for planned in run.plan:
+            print(
+                f"{planned.at:6.1f} s {planned.name} {planned.target} "
+                f"for {planned.seconds:.1f} s",
+                flush=True,
+            )
+        run.execute()
+    return check_all(Run.from_directory(directory))
+
+
+def main(args=None):
+    """Prove all rules for one seed; return the exit code."""
+    parser = argparse.ArgumentParser(description="prove what must always hold")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--directory", default="runs/proofs")
+    parser.add_argument("--machines", type=int, default=9)
+    parser.add_argument("--rate", type=float, default=25.0)
+    parser.add_argument("--fault", action="append", help="draw from these alone")
+    parser.add_argument("--check", action="store_true", help="check a finished run")
+    options = parser.parse_args(args)
+    directory = Path(options.directory) / f"seed-{options.seed}"
+    if options.check:
+        verdicts = check_all(Run.from_directory(directory))
+    else:
+        verdicts = prove(
+            options.seed, directory, options.machines, options.fault, options.rate
+        )
+    return _show(verdicts, directory)
+
+
+def _show(verdicts, directory):
+    failed = False
+    for verdict in verdicts:
+        print(verdict)
+        for broken in verdict.breaks[:SHOWN_BREAKS]:
+            print(f"    {broken}")
+        failed = failed or verdict.state != "held"
+    print(f"histories: {directory}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/rosemarypath/daemon.py
+++ b/rosemarypath/daemon.py
@@ -105,6 +105,7 @@
             self.upstream.session,
             self.settings.policy,
             self.history,
+            self.settings.dial_address,
         )
         await self.mesh.start()
         await self.membership.start()
--- a/rosemarypath/exchange.py
+++ b/rosemarypath/exchange.py
@@ -205,7 +205,7 @@
             revision=daemon.keeper.revision,
         )
         outcome = await self._send()
-        self._note(outcome, seat, adapter)
+        self._note(outcome)
         return outcome
 
     def _adapter(self):
@@ -240,7 +240,7 @@
             "X-Deadline": f"{self._until - time.monotonic():.3f}",
         }
         return Call(
-            seat.back_end.address,
+            self._daemon.settings.dial_address(seat.back_end.address),
             order.method,
             order.path,
             body,
@@ -256,18 +256,14 @@
             return await self._daemon.upstream.open_stream(self._call)
         return await self._daemon.upstream.send_whole(self._call)
 
-    def _note(self, outcome, seat, adapter):
-        """Tell the owner and the placement how the attempt went."""
-        placement = self._daemon.placement
-        name = seat.back_end.name
+    def _note(self, outcome):
+        """Tell the owner how the attempt went."""
         if isinstance(outcome, Answer):
-            placement.note_resident(name, adapter, time.monotonic())
             if outcome.response is None:
                 used = usage_of(outcome.body)
                 self._leave("ran", used or self._order.tokens)
             return
         if outcome.code == "adapter_not_loaded":
-            placement.note_absent(name, adapter)
             self._leave("adapter_missing", 0)
         elif outcome.code in {"restarting", "fell_over", "back_end_unreachable"}:
             self._leave("broken", 0)
--- a/rosemarypath/link.py
+++ b/rosemarypath/link.py
@@ -20,7 +20,6 @@
 __all__ = ["Link", "Mesh"]
 
 COALESCE_SECONDS = 0.001
-REDIAL_SECONDS = 1.0
 MAX_BATCH = 200
 SEND_BUFFER = 64
 RECEIVE_BUFFER = 1024
@@ -59,28 +58,41 @@
         self._frames = []
         self._wakened = asyncio.Event()
         self._task = asyncio.create_task(self._run())
-        self._asked_at = 0.0
+        self._unanswered_since = None
+        self._answered_at = 0.0
         self._dialled_at = 0.0
         self.identity = identity
-        self.heard_at = time.monotonic()
 
     def put(self, frame):
         """Queue `frame` for the next batch."""
         self._frames.append(frame)
-        if frame.number:
-            self._asked_at = time.monotonic()
         self._wakened.set()
 
+    def expect_answer(self, now):
+        """Record that something was sent which the peer is to answer."""
+        if self._unanswered_since is None:
+            self._unanswered_since = now
+
+    def note_answer(self):
+        """Record that the peer answered something sent on this link."""
+        self._unanswered_since = None
+        self._answered_at = time.monotonic()
+
     def close(self):
         """End the task and close the socket."""
         self._task.cancel()
         self._close_socket()
 
-    def redial_if_silent(self, now):
-        """Replace a connection on which asks stay unanswered."""
-        silent = now - self.heard_at > REDIAL_SECONDS
-        waiting = self._asked_at > self.heard_at
-        if silent and waiting and now - self._dialled_at > REDIAL_SECONDS:
+    def redial_if_silent(self, now, seconds):
+        """Replace a connection on which nothing was answered for `seconds`."""
+        since = self._unanswered_since
+        if since is not None and now - since >= seconds:
+            self._unanswered_since = None
+            self._close_socket()
+
+    def redial_if_silent_since(self, asked_at):
+        """Replace a connection that answered nothing since an ask on it."""
+        if max(self._answered_at, self._dialled_at) < asked_at:
             self._close_socket()
 
     def _close_socket(self):
@@ -177,9 +189,13 @@
             self._links.pop(identity).close()
             self._addresses.pop(identity, None)
 
-    def send(self, identity, message):
-        """Send `message` without waiting; it may be lost."""
-        self._put(identity, Frame(0, 0, message))
+    def send(self, identity, message, expect_answer=False):
+        """
+        Send `message` without waiting; it may be lost.
+
+        With `expect_answer` the link is dialled anew if `note_answer` is not called.
+        """
+        self._put(identity, Frame(0, 0, message), expect_answer)
 
     async def ask(self, identity, message, timeout):
         """Return the reply to `message`, or ``None`` after `timeout` seconds."""
@@ -187,18 +203,28 @@
         future = asyncio.get_running_loop().create_future()
         self._waiting[number] = future
         try:
+            asked_at = time.monotonic()
             self._put(identity, Frame(number, 0, message))
             async with asyncio.timeout(timeout):
                 return await future
         except TimeoutError:
+            link = self._links.get(identity)
+            if link is not None:
+                link.redial_if_silent_since(asked_at)
             return None
         finally:
             del self._waiting[number]
 
-    def check_silence(self, now):
-        """Redial the peers that fell silent."""
+    def check_silence(self, now, seconds):
+        """Redial the peers that answered nothing for `seconds`."""
         for link in self._links.values():
-            link.redial_if_silent(now)
+            link.redial_if_silent(now, seconds)
+
+    def note_answer(self, identity):
+        """Record that `identity` answered a message sent with `expect_answer`."""
+        link = self._links.get(identity)
+        if link is not None:
+            link.note_answer()
 
     def encode(self, receiver, frames):
         """Return the bytes of one batch."""
@@ -209,7 +235,7 @@
         self.counts["bytes_sent"] += len(data)
         return data
 
-    def _put(self, identity, frame):
+    def _put(self, identity, frame, expect_answer=False):
         if identity == self.identity:
             asyncio.get_running_loop().call_soon(self._receive, identity, frame)
             return
@@ -222,6 +248,8 @@
             link = Link(self, identity, self._dial_address(address))
             self._links[identity] = link
         link.put(frame)
+        if expect_answer:
+            link.expect_answer(time.monotonic())
 
     def _drain(self):
         while True:
@@ -243,14 +271,12 @@
             self.counts["stale_receiver"] += 1
             return
         self._addresses[batch.sender] = batch.sender_address
-        link = self._links.get(batch.sender)
-        if link is not None:
-            link.heard_at = time.monotonic()
         for frame in batch.frames:
             self._receive(batch.sender, frame)
 
     def _receive(self, sender, frame):
         if frame.reply_to:
+            self.note_answer(sender)
             future = self._waiting.get(frame.reply_to)
             if future is not None and not future.done():
                 future.set_result(frame.body)
--- a/rosemarypath/membership.py
+++ b/rosemarypath/membership.py
@@ -27,6 +27,7 @@
 ROSTER = "roster"
 JOIN_RETRY_SECONDS = 0.2
 PAUSE_HEARTBEATS = 3
+SILENT_HEARTBEATS = 0.9
 REJOIN_LEASES = 4
 REMOVE_SECONDS_PER_RANK = 1.0
 
@@ -257,8 +258,9 @@
         if now - self._ticked_at > PAUSE_HEARTBEATS * self._timing.heartbeat:
             self.witness.excuse_all(now)
         self._ticked_at = now
+        silence = SILENT_HEARTBEATS * self._timing.heartbeat
+        self._mesh.check_silence(now, silence)
         self._send_heartbeats(now)
-        self._mesh.check_silence(now)
         if self.in_standing(now):
             if self._bad_since is not None:
                 self._bad_since = None
@@ -287,7 +289,7 @@
     def _send_heartbeats(self, now):
         message = Heartbeat(now, self.roster.revision, self._keeper.revision)
         for witness in self.standing.witnesses:
-            self._mesh.send(witness, message)
+            self._mesh.send(witness, message, expect_answer=True)
 
     def _send_testimonies(self, now):
         relays = self.roster.relays()
@@ -359,6 +361,7 @@
         self._mesh.send(sender, ack)
 
     def _on_ack(self, sender, message):
+        self._mesh.note_answer(sender)
         if not message.accepted:
             self.standing.refuse(sender)
             return
--- a/rosemarypath/messages.py
+++ b/rosemarypath/messages.py
@@ -147,7 +147,8 @@
     Asks a back end's owner for a seat.
 
     `adapter` is the engine name of an adapter version, empty for plain services;
-    `tokens` is what the request may use; `patience` is in seconds.
+    `tokens` is what the request may use; `patience` is how long it waits for this
+    answer and `waited` how long it has waited already, in seconds.
     """
 
     back_end: str
@@ -156,21 +157,25 @@
     adapter: str
     tokens: int
     patience: float
+    waited: float = 0.0
 
 
 class SeatReply(Message):
     """
     The owner's answer.
 
-    `granted` with the `fence` to send along, or a refusal with `reason`; `free` and
-    `queued` are the owner's state, `waited_for_load` is in seconds.
+    `granted` with the `fence` to send along, or a refusal with `reason`. `seat_wait`
+    and `load_wait` are what a request of a loaded and of another adapter may expect
+    to wait there, `waited_for_load` what this one did, in seconds; `has_adapter`
+    tells whether its adapter is loaded.
     """
 
     granted: bool
     reason: str
     fence: int
-    free: int
-    queued: int
+    seat_wait: float = 0.0
+    load_wait: float = 0.0
+    has_adapter: bool = False
     waited_for_load: float = 0.0
 
 
--- a/rosemarypath/owners.py
+++ b/rosemarypath/owners.py
@@ -58,9 +58,21 @@
         Name of the seat policy.
     `history`
         The event history.
+    `dial_address`
+        Function that maps a back end's address to the address to dial.
     """
 
-    def __init__(self, membership, keeper, relay, mesh, session, policy, history):
+    def __init__(
+        self,
+        membership,
+        keeper,
+        relay,
+        mesh,
+        session,
+        policy,
+        history,
+        dial_address=lambda address: address,
+    ):
         self._membership = membership
         self._keeper = keeper
         self._relay = relay
@@ -68,6 +80,7 @@
         self._session = session
         self._policy = policy
         self._history = history
+        self._dial_address = dial_address
         self._brokers = {}
         self._budgets = {}
         self._permits = None
@@ -142,7 +155,7 @@
     def _new_broker(self, back_end, resource):
         return SeatBroker(
             back_end,
-            EngineOrders(self._session, back_end.address),
+            EngineOrders(self._session, self._dial_address(back_end.address)),
             lambda: self.fence(resource, time.monotonic()),
             self._acquire_permit,
             self._policy,
@@ -189,7 +202,7 @@
         broker = self._brokers.get(message.back_end)
         fence = self.fence(back_end_resource(message.back_end), time.monotonic())
         if broker is None or fence is None:
-            return SeatReply(False, NOT_OWNER, 0, 0, 0)
+            return SeatReply(False, NOT_OWNER, 0)
         customer = self._keeper.current.customers.get(message.customer)
         weight = 1.0
         if customer is not None:
--- a/rosemarypath/placement.py
+++ b/rosemarypath/placement.py
@@ -2,7 +2,7 @@
 rosemarypath.placement
 ~~~~~~~~~~~~~~~~~~~~~~
 
-Which back end to ask for a seat: adapter homes, residency hints and load hints.
+Which back end to ask for a seat: adapter homes and what owners last said.
 """
 
 from dataclasses import dataclass
@@ -11,31 +11,30 @@
 
 __all__ = ["Hint", "Placement"]
 
-HOMES = 2
-HINT_SECONDS = 3.0
+HINT_SECONDS = 2.0
 RESIDENT_SECONDS = 30.0
-LOAD_COST = 0.5
-QUEUE_COST = 0.25
-FOREIGN_COST = 1.0
+FIRST_LOAD_WAIT = 0.3
+EVICTION_COST = 0.5
+POSITION_COST = 0.3
 DISTANCE_COST = 0.01
 
 
 @dataclass(frozen=True)
 class Hint:
-    """What an owner last said of its back end, at time `at`."""
+    """The waits at a back end, as its owner last told at time `at`."""
 
-    free: int
-    queued: int
+    seat_wait: float
+    load_wait: float
     at: float
 
 
 class Placement:
     """
-    Orders back ends for a request, cheapest first.
+    Orders back ends for a request, the shortest wait first.
 
-    Each adapter has two homes in different zones, by rendezvous hashing. A request
-    goes elsewhere when the homes are crowded; what owners answer is remembered for a
-    few seconds. `zone` is the zone of this daemon.
+    Each adapter has a home by rendezvous hashing, and further ones in other zones. A
+    request leaves the home only when its wait there is longer than a load elsewhere
+    together with what evicting another adapter costs. `zone` is this daemon's zone.
     """
 
     def __init__(self, zone):
@@ -58,41 +57,31 @@
         }
         return sorted(ordered, key=lambda back_end: costs[back_end.name])
 
-    def note_reply(self, back_end, reply, now):
-        """Remember what an owner's `SeatReply` says of its load."""
-        self._hints[back_end] = Hint(reply.free, reply.queued, now)
-
-    def note_resident(self, back_end, adapter, now):
-        """Remember that `adapter` ran on `back_end`."""
-        if adapter:
+    def note_reply(self, back_end, adapter, reply, now):
+        """Remember what an owner's `SeatReply` says."""
+        self._hints[back_end] = Hint(reply.seat_wait, reply.load_wait, now)
+        if reply.has_adapter:
             self._resident[(back_end, adapter)] = now
-
-    def note_absent(self, back_end, adapter):
-        """Forget that `adapter` was on `back_end`."""
-        self._resident.pop((back_end, adapter), None)
+        else:
+            self._resident.pop((back_end, adapter), None)
 
     def forget_old(self, now):
         """Drop the residency hints that ran out."""
         self._resident = {
-            pair: at for pair, at in self._resident.items() if self._is_fresh(at, now)
+            pair: at
+            for pair, at in self._resident.items()
+            if now - at < RESIDENT_SECONDS
         }
 
-    @staticmethod
-    def _is_fresh(at, now):
-        return now - at < RESIDENT_SECONDS
-
     def _cost(self, adapter, back_end, position, now):
-        """Return roughly the seconds a request would wait at `back_end`."""
-        cost = 0.0
+        """Return about how many seconds a request would wait at `back_end`."""
+        hint = self._hints.get(back_end.name)
+        if hint is None or now - hint.at > HINT_SECONDS:
+            hint = Hint(0.0, FIRST_LOAD_WAIT, now)
+        cost = hint.seat_wait
         if back_end.zone != self._zone:
             cost += DISTANCE_COST
-        resident_at = self._resident.get((back_end.name, adapter), -RESIDENT_SECONDS)
-        if adapter and not self._is_fresh(resident_at, now):
-            cost += LOAD_COST
-            if position >= HOMES:
-                cost += FOREIGN_COST
-        hint = self._hints.get(back_end.name)
-        if hint is not None and now - hint.at < HINT_SECONDS:
-            waiting = hint.queued + max(0, 1 - hint.free)
-            cost += QUEUE_COST * waiting
+        at = self._resident.get((back_end.name, adapter))
+        if adapter and (at is None or now - at > RESIDENT_SECONDS):
+            cost += hint.load_wait + EVICTION_COST + POSITION_COST * position
         return cost
--- a/rosemarypath/relay.py
+++ b/rosemarypath/relay.py
@@ -34,7 +34,7 @@
 
 HOSTS = "hosts"
 ASK_TIMEOUT = 0.5
-WATCH_RETRY_SECONDS = (0.2, 1.0)
+WATCH_RETRY_SECONDS = (0.05, 0.5)
 WITHOUT_NEWS_SECONDS = 3.0
 
 _log = get_logger("relay")
@@ -126,14 +126,20 @@
                 await asyncio.sleep(self._heartbeat)
                 continue
             try:
-                objects, version = await self._store.list(kind)
-                for stored in objects:
-                    await take(stored)
-                async for stored in self._store.watch(kind, version):
-                    await take(stored)
+                await self._list_and_watch(kind, take)
             except RosemarypathError as error:
                 _log.debug("watching {} ended: {}", kind, error)
-            await asyncio.sleep(random.uniform(*WATCH_RETRY_SECONDS))
+                await asyncio.sleep(random.uniform(*WATCH_RETRY_SECONDS))
+
+    async def _list_and_watch(self, kind, take):
+        """Take all objects of `kind`, then their changes until a watch fails."""
+        objects, version = await self._store.list(kind)
+        for stored in objects:
+            await take(stored)
+        while self.is_relay:
+            async for stored in self._store.watch(kind, version):
+                version = max(version, stored.version)
+                await take(stored)
 
     async def _take_fleet(self, stored):
         if stored.name == ROSTER:
--- a/rosemarypath/seat.py
+++ b/rosemarypath/seat.py
@@ -15,6 +15,7 @@
 from rosemarypath.policies import Slot, Waiter, get_policy_by_name
 from rosemarypath.policies.fair import decayed
 from rosemarypath.ramp import Ramp
+from rosemarypath.waits import Waits
 
 __all__ = ["BUSY", "NOT_OWNER", "OUT_OF_SERVICE", "REBUILDING", "SeatBroker"]
 
@@ -102,6 +103,7 @@
         self._slots = {}
         self._loads = {}
         self._load_allowed_at = 0.0
+        self._waits = Waits(PARALLEL_LOADS)
         self._completed = 0
         self._missed = 0
         self._is_ready = False
@@ -163,11 +165,11 @@
     async def ask(self, message, holder, weight):
         """Answer a `SeatAsk` with a `SeatReply`, after waiting if need be."""
         if not self._is_open:
-            return self._refusal(OUT_OF_SERVICE)
+            return self._refusal(OUT_OF_SERVICE, message.adapter)
         if not self._is_ready:
-            return self._refusal(REBUILDING)
+            return self._refusal(REBUILDING, message.adapter)
         if message.request in self._seats:
-            return self._grant_reply(0.0)
+            return self._grant_reply(message.adapter, 0.0)
         now = time.monotonic()
         waiter = Waiter(
             message.request,
@@ -175,7 +177,7 @@
             message.adapter,
             message.tokens,
             weight,
-            now,
+            now - message.waited,
         )
         future = asyncio.get_running_loop().create_future()
         asked = _Asked(waiter, holder, future)
@@ -187,7 +189,7 @@
         except TimeoutError:
             if future.done() and not future.cancelled():
                 return future.result()
-            return self._refusal(BUSY)
+            return self._refusal(BUSY, message.adapter)
         finally:
             if self._waiting.get(message.request) is asked:
                 del self._waiting[message.request]
@@ -197,7 +199,7 @@
         now = time.monotonic()
         asked = self._waiting.pop(message.request, None)
         if asked is not None and not asked.future.done():
-            asked.future.set_result(self._refusal(BUSY))
+            asked.future.set_result(self._refusal(BUSY, asked.waiter.adapter))
         seat = self._seats.pop(message.request, None)
         if seat is not None:
             self._leave_slot(seat.waiter.adapter, now)
@@ -233,7 +235,9 @@
         self._policy.charge(waiter, now)
         self._seats[waiter.request] = _Seat(waiter, asked.holder, now)
         self._enter_slot(waiter.adapter, now)
-        asked.future.set_result(self._grant_reply(asked.load_wait))
+        if not asked.load_wait:
+            self._waits.note_seat(now - waiter.since)
+        asked.future.set_result(self._grant_reply(waiter.adapter, asked.load_wait))
 
     def _enter_slot(self, adapter, now):
         if not adapter:
@@ -289,6 +293,7 @@
             give_back()
             self._loads.pop(adapter, None)
         now = time.monotonic()
+        self._waits.note_load(now - started)
         if not loaded:
             self._slots.pop(adapter, None)
             self._load_allowed_at = now + FAILED_LOAD_PAUSE
@@ -418,14 +423,29 @@
     def _refuse_all(self, reason):
         for asked in list(self._waiting.values()):
             if not asked.future.done():
-                asked.future.set_result(self._refusal(reason))
+                asked.future.set_result(self._refusal(reason, asked.waiter.adapter))
         self._waiting.clear()
 
-    def _refusal(self, reason):
-        return SeatReply(False, reason, 0, self.free, self.queued)
+    def _refusal(self, reason, adapter):
+        return self._reply(False, reason, 0, adapter, 0.0)
 
-    def _grant_reply(self, load_wait):
+    def _grant_reply(self, adapter, load_wait):
         fence = self._fence()
         if fence is None:
-            return self._refusal(NOT_OWNER)
-        return SeatReply(True, "", fence, self.free, self.queued, load_wait)
+            return self._refusal(NOT_OWNER, adapter)
+        return self._reply(True, "", fence, adapter, load_wait)
+
+    def _reply(self, granted, reason, fence, adapter, load_wait):
+        is_ready = self._is_adapter_ready
+        waiting = [asked.waiter.adapter for asked in self._waiting.values()]
+        has_queue = self.free <= 0 or any(is_ready(name) for name in waiting)
+        loading = {name for name in waiting if not is_ready(name)} | set(self._loads)
+        return SeatReply(
+            granted,
+            reason,
+            fence,
+            self._waits.seat_wait(has_queue),
+            self._waits.load_wait(len(loading)),
+            is_ready(adapter),
+            load_wait,
+        )
--- a/rosemarypath/seatclient.py
+++ b/rosemarypath/seatclient.py
@@ -23,8 +23,10 @@
 __all__ = ["Seat", "SeatClient"]
 
 ASK_MARGIN = 0.3
-ASK_SLICE = 1.0
+ASK_SLICE = 0.5
+AVOID_SECONDS = 0.3
 RETRY_SECONDS = 0.05
+NO_ANSWER = "no_answer"
 RELEASE_TRIES = 10
 RELEASE_TIMEOUT = 0.5
 
@@ -66,27 +68,34 @@
 
         `back_ends` is a function that returns the ones to try now, best first.
         """
-        refused = set()
+        started = time.monotonic()
+        refused = {}
         while True:
             now = time.monotonic()
-            ranked = [b for b in back_ends(now) if b.name not in refused]
-            if not ranked and not refused:
-                return NotRun(503, "no_back_end", "no back end is in service", 1.0)
             if now >= until:
                 return NotRun(503, "overloaded", "no seat became free in time", 1.0)
+            usable = back_ends(now)
+            if not usable:
+                return NotRun(503, "no_back_end", "no back end is in service", 1.0)
+            ranked = [b for b in usable if refused.get(b.name, 0.0) <= now]
             if not ranked:
-                refused.clear()
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             back_end = ranked[0]
-            patience = until - now
-            if len(ranked) > 1:
-                patience = min(patience, ASK_SLICE)
-            ask = SeatAsk(back_end.name, request, customer, adapter, tokens, patience)
+            ask = SeatAsk(
+                back_end.name,
+                request,
+                customer,
+                adapter,
+                tokens,
+                min(until - now, ASK_SLICE),
+                now - started,
+            )
             seat = await self._ask(back_end, ask)
             if isinstance(seat, Seat):
                 return seat
-            refused.add(back_end.name)
+            if seat != BUSY:
+                refused[back_end.name] = time.monotonic() + AVOID_SECONDS
 
     def release(self, seat, outcome, tokens=0, seconds=0.0):
         """Give `seat` back; `outcome` is ran, not_run, broken or adapter_missing."""
@@ -107,9 +116,9 @@
             if not answered:
                 self._release(back_end.name, ask.request, "not_run", 0, 0.0)
         if reply is None:
-            return BUSY
+            return NO_ANSWER
         now = time.monotonic()
-        self._placement.note_reply(back_end.name, reply, now)
+        self._placement.note_reply(back_end.name, ask.adapter, reply, now)
         if not reply.granted:
             return reply.reason
         if reply.fence < self._fences.get(back_end.name, 0):
--- a/rosemarypath/store.py
+++ b/rosemarypath/store.py
@@ -23,7 +23,8 @@
 
 API_PREFIX = "/apis/rosemarypath/v1"
 CALL_TIMEOUT = 2.0
-WATCH_IDLE_TIMEOUT = 15.0
+WATCH_SECONDS = 1.5
+WATCH_SILENCE = 2.0
 WRITER = "writer"
 
 
@@ -100,15 +101,20 @@
 
     async def watch(self, kind, version):
         """
-        Yield each `StoredObject` of `kind` changed after `version`.
+        Yield each `StoredObject` of `kind` changed after `version`, for 1.5 seconds.
 
+        The platform ends the watch itself, so that a silent one is soon noticed.
         Raises `VersionGoneError` when `version` is too old and
         `StoreUnavailableError` when the watch breaks or falls silent.
         """
         self.calls["watch"] += 1
-        parameters = {"watch": "1", "resourceVersion": str(version)}
+        parameters = {
+            "watch": "1",
+            "resourceVersion": str(version),
+            "timeoutSeconds": str(WATCH_SECONDS),
+        }
         timeout = aiohttp.ClientTimeout(
-            sock_connect=CALL_TIMEOUT, sock_read=WATCH_IDLE_TIMEOUT
+            sock_connect=CALL_TIMEOUT, sock_read=WATCH_SILENCE
         )
         try:
             async with self._get_session().get(
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -278,6 +278,7 @@
             "request_end",
             request=sequence.request_id,
             tokens=len(sequence.tokens),
+            prompt_tokens=sequence.prompt_tokens,
             complete=sequence.is_complete,
         )
         await asyncio.sleep(RESUME_WINDOW)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -13,6 +13,8 @@
 
 __all__ = ["Faults"]
 
+HANG_SECONDS = 3600.0
+
 
 class Faults:
     """
@@ -37,8 +39,8 @@
         server.add("POST", "/faults", self._change)
 
     async def hang(self):
-        """Wait for ever, as a connection that fell silent does."""
-        await asyncio.Event().wait()
+        """Wait for an hour, as a connection that fell silent does."""
+        await asyncio.sleep(HANG_SECONDS)
 
     async def _show(self, request):
         return json_response(200, self._values)
--- a/standins/objectapi.py
+++ b/standins/objectapi.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import time
 from collections import Counter
 from functools import partial
 
@@ -21,7 +22,6 @@
 
 MAX_VALUE_BYTES = 1024 * 1024
 KEPT_EVENTS = 1000
-BOOKMARK_INTERVAL = 5.0
 
 
 class ObjectApi:
@@ -38,7 +38,7 @@
         self._objects = {}
         self._version = 0
         self._events = []
-        self._changed = asyncio.Condition()
+        self._changed = asyncio.Event()
         self._calls = Counter()
         self.faults = Faults(
             {
@@ -85,7 +85,9 @@
     async def _list_or_watch(self, request):
         kind = request.route_values["kind"]
         if "watch" in request.query:
-            return await self._watch(kind, int(request.query["resourceVersion"][0]))
+            version = int(request.query["resourceVersion"][0])
+            seconds = float(request.query.get("timeoutSeconds", ["30"])[0])
+            return await self._watch(kind, version, seconds)
         refusal = await self._enter("read")
         if refusal is not None:
             return refusal
@@ -149,10 +151,10 @@
         document["metadata"]["resourceVersion"] = str(self._version)
         self._objects[identity] = document
         event = {"type": event_type, "object": document}
-        async with self._changed:
-            self._events.append((self._version, identity[0], event))
-            del self._events[:-KEPT_EVENTS]
-            self._changed.notify_all()
+        self._events.append((self._version, identity[0], event))
+        del self._events[:-KEPT_EVENTS]
+        self._changed.set()
+        self._changed = asyncio.Event()
         self._history.write(
             "stored",
             object_kind=identity[0],
@@ -162,7 +164,7 @@
         )
         return document
 
-    async def _watch(self, kind, version):
+    async def _watch(self, kind, version, seconds):
         refusal = await self._enter("watch")
         if refusal is not None:
             return refusal
@@ -170,23 +172,25 @@
         if version < oldest - 1:
             return json_response(410, {"reason": "Gone"})
         content = StreamedContent(
-            b"application/json", partial(self._watch_events, kind, version)
+            b"application/json", partial(self._watch_events, kind, version, seconds)
         )
         return Response(200, None, content)
 
-    async def _watch_events(self, kind, version):
+    async def _watch_events(self, kind, version, seconds):
+        """Yield the events after `version`, and end after `seconds`."""
+        deadline = time.monotonic() + seconds
         while not self.faults["down"]:
-            if not self.faults["mute_watches"]:
-                for number, event_kind, event in list(self._events):
-                    if number > version and event_kind == kind:
-                        yield msgspec.json.encode(event) + b"\n"
-                version = self._version
-            try:
-                async with self._changed:
-                    await asyncio.wait_for(self._changed.wait(), BOOKMARK_INTERVAL)
-            except asyncio.TimeoutError:
-                if not self.faults["mute_watches"]:
-                    yield b'{"type":"BOOKMARK"}\n'
+            if self.faults["mute_watches"]:
+                await self.faults.hang()
+            changed = self._changed
+            for number, event_kind, event in list(self._events):
+                if number > version and event_kind == kind:
+                    yield msgspec.json.encode(event) + b"\n"
+            version = max(version, *(number for number, _, _ in self._events[-1:]), 0)
+            left = deadline - time.monotonic()
+            if left <= 0:
+                return
+            await asyncio.wait({asyncio.ensure_future(changed.wait())}, timeout=left)
 
 
 def _revision_of(spec):
--- /dev/null
+++ b/standins/wire.py
@@ -0,0 +1,157 @@
+"""
+standins.wire
+~~~~~~~~~~~~~
+
+Forwards TCP connections between processes, with switches that cut or silence them.
+"""
+
+import asyncio
+import fnmatch
+import json
+
+import msgspec
+
+from rosemarypath.httpserver import HttpServer, json_response
+from standins.process import build_parser, run_until_stopped
+
+__all__ = ["Wire", "WireBoard", "main"]
+
+PASS = "pass"
+CUT = "cut"
+SILENT = "silent"
+HUSH = "hush"
+MODES = {PASS, CUT, SILENT, HUSH}
+READ_BYTES = 65536
+
+
+class Wire:
+    """
+    One forwarded address.
+
+    Options:
+
+    `name`
+        ``SOURCE>TARGET``.
+    `listen`, `target`
+        Ports and addresses as ``host:port``.
+
+    Modes: ``pass`` forwards, ``cut`` closes and refuses, ``silent`` keeps connections
+    and forwards nothing, ``hush`` silences the open ones for good and passes new ones.
+    """
+
+    def __init__(self, name, listen, target):
+        self._listen = listen
+        self._target = target
+        self._connections = set()
+        self._server = None
+        self.name = name
+        self.mode = PASS
+
+    async def start(self):
+        """Start to listen."""
+        host, port = self._listen.rsplit(":", 1)
+        self._server = await asyncio.start_server(self._accept, host, int(port))
+
+    def set_mode(self, mode):
+        """Put `mode` in force for open and new connections."""
+        self.mode = PASS if mode == HUSH else mode
+        for connection in list(self._connections):
+            if mode == CUT:
+                connection.close()
+            elif mode == HUSH:
+                connection.is_hushed = True
+
+    async def _accept(self, reader, writer):
+        if self.mode == CUT:
+            writer.close()
+            return
+        host, port = self._target.rsplit(":", 1)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.close()
+            return
+        connection = _Connection(self, (writer, far_writer))
+        self._connections.add(connection)
+        try:
+            await asyncio.gather(
+                connection.copy(reader, far_writer),
+                connection.copy(far_reader, writer),
+            )
+        finally:
+            self._connections.discard(connection)
+            connection.close()
+
+
+class _Connection:
+    """Both halves of one forwarded connection."""
+
+    def __init__(self, wire, writers):
+        self._wire = wire
+        self._writers = writers
+        self.is_hushed = False
+
+    def close(self):
+        for writer in self._writers:
+            writer.close()
+
+    async def copy(self, reader, writer):
+        try:
+            while data := await reader.read(READ_BYTES):
+                if self.is_hushed or self._wire.mode == SILENT:
+                    self.is_hushed = True
+                    continue
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        if not self.is_hushed:
+            self.close()
+
+
+class WireBoard:
+    """All wires of a fleet; modes are set by ``POST /set`` for matching names."""
+
+    def __init__(self, wires):
+        self._wires = wires
+
+    def add_routes(self, server):
+        """Serve the switch on `server`."""
+        server.add("POST", "/set", self._set)
+
+    async def start(self):
+        """Start all wires."""
+        for wire in self._wires:
+            await wire.start()
+
+    async def _set(self, request):
+        order = msgspec.json.decode(await request.read())
+        if order["mode"] not in MODES:
+            return json_response(400, {"error": f"use one of {sorted(MODES)}"})
+        matching = [w for w in self._wires if fnmatch.fnmatch(w.name, order["match"])]
+        for wire in matching:
+            wire.set_mode(order["mode"])
+        return json_response(200, {"wires": len(matching)})
+
+
+def main(args=None):
+    """Run the stand-in as a process; return its exit code."""
+    parser = build_parser("wires between processes")
+    parser.add_argument("--wires", required=True, metavar="FILE")
+    options = parser.parse_args(args)
+    with open(options.wires, encoding="utf-8") as file:
+        wires = [Wire(**entry) for entry in json.load(file)]
+
+    async def serve():
+        server = HttpServer(options.listen)
+        board = WireBoard(wires)
+        board.add_routes(server)
+        await board.start()
+        await run_until_stopped(server)
+
+    asyncio.run(serve())
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
