Load what is wanted most when a permit comes, in the order of asking

Three causes seen in the engines' histories: an adapter's popularity was forgotten with its slot; a victim was given up before the load permit came, so that two slots of each engine stood idle; permits went to whoever asked at the right moment (10 loads at one engine, 29 at another).

Change: popularity outlives the slot, loaders take their permit first and choose then, permits go in the order of asking.

--- a/rosemarypath/exchange.py
+++ b/rosemarypath/exchange.py
@@ -117,13 +117,11 @@
             outcome = "silent" if error.is_silent else "broken"
             raise
         finally:
-            used = usage_in(tail)
-            if used is None:
-                used = self._order.tokens if outcome != "cancelled" else events
+            usage = usage_in(tail)
             if outcome == "cancelled":
                 self._abandon()
-            self._settle(used)
-            self._leave(outcome, used)
+            self._settle(self._order.tokens if usage is None else usage.total)
+            self._leave(outcome, events if usage is None else usage.generated)
 
     async def _prepare(self):
         """Reserve tokens and claim the idempotency key; return a refusal or None."""
@@ -260,8 +258,8 @@
         """Tell the owner how the attempt went."""
         if isinstance(outcome, Answer):
             if outcome.response is None:
-                used = usage_of(outcome.body)
-                self._leave("ran", used or self._order.tokens)
+                usage = usage_of(outcome.body)
+                self._leave("ran", usage.generated if usage is not None else 1)
             return
         if outcome.code == "adapter_not_loaded":
             self._leave("adapter_missing", 0)
@@ -285,8 +283,8 @@
         used = self._order.tokens
         is_proven_idle = isinstance(outcome, NotRun) or self._call is None
         if isinstance(outcome, Answer):
-            reported = usage_of(outcome.body)
-            used = used if reported is None else reported
+            usage = usage_of(outcome.body)
+            used = used if usage is None else usage.total
         elif is_proven_idle:
             used = 0
             if self._claimed:
--- a/rosemarypath/owners.py
+++ b/rosemarypath/owners.py
@@ -31,7 +31,7 @@
 WEIGHTS = "weights"
 ASK_TIMEOUT = 0.3
 KEEP_SECONDS = 0.2
-PERMIT_WAIT_LIMIT = 0.5
+PERMIT_RETRY_SECONDS = 0.02
 
 
 def back_end_resource(name):
@@ -260,4 +260,4 @@
             if reply is not None and reply.granted:
                 return lambda: self._mesh.send(owner, PermitReturn(permit))
             wait = reply.wait if reply is not None else 0.0
-            await asyncio.sleep(min(max(wait, 0.02), PERMIT_WAIT_LIMIT))
+            await asyncio.sleep(max(wait, PERMIT_RETRY_SECONDS))
--- a/rosemarypath/policies/__init__.py
+++ b/rosemarypath/policies/__init__.py
@@ -53,7 +53,7 @@
 
 @dataclass
 class Slot:
-    """One adapter held by an engine; `popularity` decays with time."""
+    """One adapter of an engine; `popularity` is set before a victim is chosen."""
 
     adapter: str
     in_use: int = 0
--- a/rosemarypath/policies/fair.py
+++ b/rosemarypath/policies/fair.py
@@ -9,8 +9,6 @@
 
 __all__ = ["FairPolicy"]
 
-HALF_LIFE = 120.0
-
 
 @policy("fair")
 class FairPolicy(SeatPolicy):
@@ -34,7 +32,7 @@
     def choose_victim(self, slots, waiting, now):
         wanted = {waiter.adapter for waiter in waiting}
         idle = [s for s in slots if s.in_use == 0 and s.adapter not in wanted]
-        return min(idle, key=lambda slot: decayed(slot, now), default=None)
+        return min(idle, key=lambda s: (s.popularity, s.used_at), default=None)
 
     def charge(self, waiter, now):
         start = max(self._served.get(waiter.customer, 0.0), self._floor)
@@ -47,8 +45,3 @@
             return served, waiter.since
 
         return min(waiters, key=level, default=None)
-
-
-def decayed(slot, now):
-    """Return the popularity of `slot` at `now`, halved every two minutes."""
-    return slot.popularity * 0.5 ** ((now - slot.used_at) / HALF_LIFE)
--- a/rosemarypath/seat.py
+++ b/rosemarypath/seat.py
@@ -12,10 +12,9 @@
 from rosemarypath.log import get_logger
 from rosemarypath.messages import SeatReply
 from rosemarypath.orders import ORDER_TIMEOUT
-from rosemarypath.policies import Slot, Waiter, get_policy_by_name
-from rosemarypath.policies.fair import decayed
+from rosemarypath.policies import Waiter, get_policy_by_name
 from rosemarypath.ramp import Ramp
-from rosemarypath.waits import Waits
+from rosemarypath.slots import AdapterSlots
 
 __all__ = ["BUSY", "NOT_OWNER", "OUT_OF_SERVICE", "REBUILDING", "SeatBroker"]
 
@@ -25,8 +24,6 @@
 REBUILDING = "rebuilding"
 REPORT_SECONDS = 1.0
 AUDIT_REPORTS = 10
-PARALLEL_LOADS = 2
-FAILED_LOAD_PAUSE = 0.5
 MISSED_REPORTS = 2
 
 _log = get_logger("seats")
@@ -92,18 +89,22 @@
     ):
         self._orders = orders
         self._fence = fence
-        self._permits = permits
         self._is_member = is_member
         self._ask_held = ask_held
         self._policy = get_policy_by_name(policy)()
         self._history = history
+        self._slots = AdapterSlots(
+            back_end,
+            orders,
+            self._policy,
+            fence,
+            permits,
+            lambda: [asked.waiter for asked in self._waiting.values()],
+            self._on_slots_change,
+        )
         self._ramp = Ramp(back_end.cold_capacity, back_end.capacity)
         self._seats = {}
         self._waiting = {}
-        self._slots = {}
-        self._loads = {}
-        self._load_allowed_at = 0.0
-        self._waits = Waits(PARALLEL_LOADS)
         self._completed = 0
         self._missed = 0
         self._is_ready = False
@@ -129,7 +130,7 @@
     @property
     def adapters(self):
         """Return the engine names of the adapters that are loaded."""
-        return sorted(s.adapter for s in self._slots.values() if s.is_loaded)
+        return self._slots.loaded
 
     @property
     def queued(self):
@@ -147,13 +148,15 @@
 
     def stop(self):
         """End the tasks and refuse what waits."""
-        for task in [*self._tasks, *self._loads.values()]:
+        self._slots.stop()
+        for task in self._tasks:
             task.cancel()
         self._refuse_all(NOT_OWNER)
 
     def update(self, back_end):
         """Put a changed `back_end` rule in force."""
         self.back_end = back_end
+        self._slots.back_end = back_end
         self._ramp.resize(back_end.cold_capacity, back_end.capacity)
 
     def set_open(self, is_open):
@@ -202,31 +205,26 @@
             asked.future.set_result(self._refusal(BUSY, asked.waiter.adapter))
         seat = self._seats.pop(message.request, None)
         if seat is not None:
-            self._leave_slot(seat.waiter.adapter, now)
+            self._slots.leave(seat.waiter.adapter, now)
             if message.outcome == "ran":
                 self._ramp.complete(message.seconds, message.tokens)
             elif message.outcome == "broken":
                 self._note_restart("a request broke")
             elif message.outcome == "adapter_missing":
-                self._slots.pop(seat.waiter.adapter, None)
+                self._slots.forget(seat.waiter.adapter)
         self._pump(now)
 
-    def _is_adapter_ready(self, adapter):
-        slot = self._slots.get(adapter)
-        return not adapter or (slot is not None and slot.is_loaded)
-
     def _pump(self, now):
         """Seat whom the policy chooses, then start the loads it wants."""
         if not self._is_ready or self._fence() is None:
             return
         while self.free > 0 and self._waiting:
             waiting = [asked.waiter for asked in self._waiting.values()]
-            waiter = self._policy.choose(waiting, self._is_adapter_ready, now)
+            waiter = self._policy.choose(waiting, self._slots.is_ready, now)
             if waiter is None:
                 break
             self._seat(waiter, now)
-        if self.back_end.kind == ENGINE:
-            self._start_loads(now)
+        self._slots.wake()
 
     def _seat(self, waiter, now):
         asked = self._waiting.pop(waiter.request)
@@ -234,97 +232,19 @@
             return
         self._policy.charge(waiter, now)
         self._seats[waiter.request] = _Seat(waiter, asked.holder, now)
-        self._enter_slot(waiter.adapter, now)
+        self._slots.enter(waiter.adapter, now)
         if not asked.load_wait:
-            self._waits.note_seat(now - waiter.since)
+            self._slots.waits.note_seat(now - waiter.since)
         asked.future.set_result(self._grant_reply(waiter.adapter, asked.load_wait))
 
-    def _enter_slot(self, adapter, now):
-        if not adapter:
-            return
-        slot = self._slots.setdefault(adapter, Slot(adapter))
-        slot.popularity = decayed(slot, now) + 1.0
-        slot.in_use += 1
-        slot.used_at = now
-
-    def _leave_slot(self, adapter, now):
-        slot = self._slots.get(adapter)
-        if slot is not None and slot.in_use > 0:
-            slot.in_use -= 1
-            slot.used_at = now
-
-    def _start_loads(self, now):
-        if now < self._load_allowed_at:
-            return
-        while len(self._loads) < PARALLEL_LOADS:
-            waiting = [
-                asked.waiter
-                for asked in self._waiting.values()
-                if asked.waiter.adapter not in self._loads
-            ]
-            waiter = self._policy.choose_load(waiting, self._is_adapter_ready, now)
-            if waiter is None:
-                return
-            victim = None
-            if len(self._slots) >= self.back_end.slots:
-                everybody = [asked.waiter for asked in self._waiting.values()]
-                victim = self._policy.choose_victim(
-                    [s for s in self._slots.values() if s.is_loaded], everybody, now
-                )
-                if victim is None:
-                    return
-                victim.is_loaded = False
-            self._slots.setdefault(waiter.adapter, Slot(waiter.adapter)).is_loaded = (
-                False
-            )
-            task = asyncio.create_task(self._load(waiter.adapter, victim))
-            self._loads[waiter.adapter] = task
-
-    async def _load(self, adapter, victim):
-        """Evict `victim` if there is one, load `adapter`, then seat its waiters."""
-        started = time.monotonic()
-        loaded = False
-        give_back = await self._permits(f"{self.back_end.name}/{adapter}")
-        try:
-            if victim is None or await self._evict(victim):
-                fence = self._fence()
-                loaded = fence is not None and await self._orders.load(adapter, fence)
-        finally:
-            give_back()
-            self._loads.pop(adapter, None)
+    def _on_slots_change(self, adapter, seconds):
+        """Seat those that waited for `adapter`, which took `seconds` to load."""
         now = time.monotonic()
-        self._waits.note_load(now - started)
-        if not loaded:
-            self._slots.pop(adapter, None)
-            self._load_allowed_at = now + FAILED_LOAD_PAUSE
-            asyncio.get_running_loop().call_later(
-                FAILED_LOAD_PAUSE, lambda: self._pump(time.monotonic())
-            )
-            return
-        slot = self._slots.setdefault(adapter, Slot(adapter))
-        slot.is_loaded = True
-        slot.used_at = now
         for asked in self._waiting.values():
-            if asked.waiter.adapter == adapter:
-                asked.load_wait = now - max(started, asked.waiter.since)
+            if adapter is not None and asked.waiter.adapter == adapter:
+                asked.load_wait = min(seconds, now - asked.waiter.since)
         self._pump(now)
 
-    async def _evict(self, victim):
-        fence = self._fence()
-        report = await self._orders.report()
-        is_idle = report is not None and victim.adapter not in report.running_adapters
-        if fence is None or victim.in_use or not is_idle:
-            victim.is_loaded = True
-            return False
-        if not await self._orders.unload(victim.adapter, fence):
-            await asyncio.sleep(ORDER_TIMEOUT)
-            loaded = await self._orders.loaded()
-            if loaded is None or victim.adapter in loaded:
-                victim.is_loaded = loaded is not None
-                return False
-        self._slots.pop(victim.adapter, None)
-        return True
-
     async def _run(self, collect_held):
         """Rebuild the state after taking over, then follow the reports."""
         if not self.back_end.fences:
@@ -332,9 +252,10 @@
         now = time.monotonic()
         for waiter, holder in await collect_held():
             self._seats[waiter.request] = _Seat(waiter, holder, now)
-            self._enter_slot(waiter.adapter, now)
+            self._slots.enter(waiter.adapter, now)
         if self.back_end.kind == ENGINE:
-            await self._learn_adapters()
+            await self._slots.learn()
+            self._slots.start()
         self._adopt_orphans(await self._orders.report(), now)
         self._ramp.assume(len(self._seats))
         self._is_ready = True
@@ -349,13 +270,6 @@
             if reports % AUDIT_REPORTS == 0:
                 await self._audit()
 
-    async def _learn_adapters(self):
-        loaded = await self._orders.loaded()
-        for adapter in loaded or ():
-            self._slots.setdefault(adapter, Slot(adapter))
-        for adapter, slot in self._slots.items():
-            slot.is_loaded = loaded is not None and adapter in loaded
-
     def _adopt_orphans(self, report, now):
         """Count the requests that run and that no member holds."""
         for request in report.requests if report is not None else ():
@@ -372,7 +286,7 @@
             seat.missed += 1
             if seat.missed >= MISSED_REPORTS:
                 del self._seats[request]
-                self._leave_slot(seat.waiter.adapter, now)
+                self._slots.leave(seat.waiter.adapter, now)
 
     async def _audit(self):
         """End the seats whose holder, asked again, does not know of them."""
@@ -388,7 +302,7 @@
                 is_lost = held is not None and request not in held
                 if seat.holder == holder and is_lost:
                     self._seats.pop(request, None)
-                    self._leave_slot(seat.waiter.adapter, started)
+                    self._slots.leave(seat.waiter.adapter, started)
         self._pump(time.monotonic())
 
     def _take_report(self, report):
@@ -410,15 +324,8 @@
         _log.info("{} starts anew: {}", self.back_end.name, reason)
         self._completed = 0
         self._ramp.fail()
-        for adapter, slot in list(self._slots.items()):
-            if slot.in_use == 0 and adapter not in self._loads:
-                del self._slots[adapter]
         if self.back_end.kind == ENGINE:
-            self._tasks.append(asyncio.create_task(self._relearn()))
-
-    async def _relearn(self):
-        await self._learn_adapters()
-        self._pump(time.monotonic())
+            self._tasks.append(asyncio.create_task(self._slots.learn()))
 
     def _refuse_all(self, reason):
         for asked in list(self._waiting.values()):
@@ -436,16 +343,16 @@
         return self._reply(True, "", fence, adapter, load_wait)
 
     def _reply(self, granted, reason, fence, adapter, load_wait):
-        is_ready = self._is_adapter_ready
+        is_ready = self._slots.is_ready
         waiting = [asked.waiter.adapter for asked in self._waiting.values()]
         has_queue = self.free <= 0 or any(is_ready(name) for name in waiting)
-        loading = {name for name in waiting if not is_ready(name)} | set(self._loads)
+        loading = {name for name in waiting if not is_ready(name)} | self._slots.loading
         return SeatReply(
             granted,
             reason,
             fence,
-            self._waits.seat_wait(has_queue),
-            self._waits.load_wait(len(loading)),
+            self._slots.waits.seat_wait(has_queue),
+            self._slots.waits.load_wait(len(loading)),
             is_ready(adapter),
             load_wait,
         )
--- /dev/null
+++ b/rosemarypath/slots.py
@@ -0,0 +1,213 @@
+"""
+rosemarypath.slots
+~~~~~~~~~~~~~~~~~~
+
+The adapter slots of one engine: what is loaded, in use, loaded next and evicted.
+"""
+
+import asyncio
+import time
+
+from rosemarypath.orders import ORDER_TIMEOUT
+from rosemarypath.policies import Slot
+from rosemarypath.popularity import Popularity
+from rosemarypath.waits import Waits
+
+__all__ = ["AdapterSlots"]
+
+LOADERS = 2
+FAILED_LOAD_PAUSE = 0.5
+
+
+class AdapterSlots:
+    """
+    Slots of one engine, with loader tasks that bring in what is waited for.
+
+    Options:
+
+    `back_end`
+        The `BackEnd`; its ``slots`` bound how many adapters it holds.
+    `orders`
+        The `EngineOrders` to it.
+    `policy`
+        The `SeatPolicy` that chooses loads and victims.
+    `fence`
+        Function that returns the present fencing number, or ``None`` when this daemon
+        may not act now.
+    `permits`
+        Asynchronous function that acquires a load permit and returns a function that
+        gives it back.
+    `waiting`
+        Function that returns the `Waiter` objects of the back end.
+    `on_change`
+        Called with an adapter's name and the seconds its load took, or with two
+        ``None`` after any other change.
+    """
+
+    def __init__(self, back_end, orders, policy, fence, permits, waiting, on_change):
+        self._orders = orders
+        self._policy = policy
+        self._fence = fence
+        self._permits = permits
+        self._waiting = waiting
+        self._on_change = on_change
+        self._slots = {}
+        self._loading = set()
+        self._popularity = Popularity()
+        self._wanted = asyncio.Event()
+        self._tasks = []
+        self.back_end = back_end
+        self.waits = Waits(LOADERS)
+
+    @property
+    def loaded(self):
+        """Return the engine names of the adapters that are loaded."""
+        return sorted(s.adapter for s in self._slots.values() if s.is_loaded)
+
+    @property
+    def loading(self):
+        """Return the engine names of the adapters that are being loaded."""
+        return set(self._loading)
+
+    def is_ready(self, adapter):
+        """Return whether a request of `adapter` can run at once."""
+        slot = self._slots.get(adapter)
+        return not adapter or (slot is not None and slot.is_loaded)
+
+    def start(self):
+        """Start the loaders."""
+        self._tasks = [
+            asyncio.create_task(self._load_forever(number)) for number in range(LOADERS)
+        ]
+
+    def stop(self):
+        """End the loaders."""
+        for task in self._tasks:
+            task.cancel()
+
+    def wake(self):
+        """Let the loaders look for work."""
+        self._wanted.set()
+
+    def enter(self, adapter, now):
+        """Record that a request of `adapter` begins."""
+        if not adapter:
+            return
+        slot = self._slots.setdefault(adapter, Slot(adapter))
+        slot.in_use += 1
+        slot.used_at = now
+        self._popularity.count(adapter, now)
+
+    def leave(self, adapter, now):
+        """Record that a request of `adapter` ended."""
+        slot = self._slots.get(adapter)
+        if slot is not None and slot.in_use > 0:
+            slot.in_use -= 1
+            slot.used_at = now
+
+    def forget(self, adapter):
+        """Record that the engine said it lacks `adapter`."""
+        slot = self._slots.get(adapter)
+        if slot is not None:
+            slot.is_loaded = False
+            if slot.in_use == 0:
+                del self._slots[adapter]
+
+    async def learn(self):
+        """Read from the engine what is loaded."""
+        loaded = await self._orders.loaded()
+        for adapter in loaded or ():
+            self._slots.setdefault(adapter, Slot(adapter))
+        for adapter, slot in list(self._slots.items()):
+            slot.is_loaded = loaded is not None and adapter in loaded
+            if not slot.is_loaded and slot.in_use == 0:
+                del self._slots[adapter]
+        self._on_change(None, None)
+
+    async def _load_forever(self, number):
+        permit = f"{self.back_end.name}/{number}"
+        while True:
+            if self._next_load(time.monotonic()) is None:
+                self._wanted.clear()
+                await self._wanted.wait()
+                continue
+            started = time.monotonic()
+            give_back = await self._permits(permit)
+            try:
+                is_done = await self._load_next(started)
+            finally:
+                give_back()
+            if not is_done:
+                await asyncio.sleep(FAILED_LOAD_PAUSE)
+
+    async def _load_next(self, started):
+        """Load what is wanted most now; return whether no pause is needed."""
+        waiter = self._next_load(time.monotonic())
+        if waiter is None:
+            return True
+        adapter = waiter.adapter
+        self._loading.add(adapter)
+        try:
+            if not await self._make_room() or self._fence() is None:
+                return False
+            if not await self._orders.load(adapter, self._fence()):
+                return False
+        finally:
+            self._loading.discard(adapter)
+        slot = self._slots.setdefault(adapter, Slot(adapter))
+        slot.is_loaded = True
+        slot.used_at = time.monotonic()
+        seconds = slot.used_at - started
+        self.waits.note_load(seconds)
+        self._on_change(adapter, seconds)
+        return True
+
+    def _next_load(self, now):
+        """Return the `Waiter` whose adapter should be loaded, or ``None``."""
+        waiting = [w for w in self._waiting() if w.adapter not in self._loading]
+        waiter = self._policy.choose_load(waiting, self.is_ready, now)
+        if waiter is None or not self._is_full():
+            return waiter
+        return waiter if self._victim(now) is not None else None
+
+    def _is_full(self):
+        """Return whether a further load needs an eviction."""
+        coming = self._loading - set(self._slots)
+        return len(self._slots) + len(coming) >= self.back_end.slots
+
+    def _victim(self, now):
+        idle = [s for s in self._slots.values() if s.is_loaded and s.in_use == 0]
+        for slot in idle:
+            slot.popularity = self._popularity.of(slot.adapter, now)
+        return self._policy.choose_victim(idle, self._waiting(), now)
+
+    async def _make_room(self):
+        """Evict an adapter if need be; return whether there is a free slot."""
+        coming = self._loading - set(self._slots)
+        if len(self._slots) + len(coming) <= self.back_end.slots:
+            return True
+        victim = self._victim(time.monotonic())
+        if victim is None:
+            return False
+        victim.is_loaded = False
+        if not await self._evict(victim):
+            self._on_change(None, None)
+            return False
+        return True
+
+    async def _evict(self, victim):
+        report = await self._orders.report()
+        is_idle = report is not None and victim.adapter not in report.running_adapters
+        fence = self._fence()
+        if fence is None or victim.in_use or not is_idle:
+            victim.is_loaded = True
+            return False
+        if not await self._orders.unload(victim.adapter, fence):
+            # A late order may still arrive, so the adapter is not used until then.
+            await asyncio.sleep(ORDER_TIMEOUT)
+            loaded = await self._orders.loaded()
+            if loaded is None or victim.adapter in loaded:
+                victim.is_loaded = loaded is not None
+                return False
+        self._slots.pop(victim.adapter, None)
+        return True
--- a/rosemarypath/upstream.py
+++ b/rosemarypath/upstream.py
@@ -16,7 +16,15 @@
 from rosemarypath.orders import FENCE_HEADER
 from rosemarypath.outcome import NotRun, Unknown
 
-__all__ = ["Answer", "BrokenStreamError", "Call", "Upstream"]
+__all__ = [
+    "Answer",
+    "BrokenStreamError",
+    "Call",
+    "Upstream",
+    "Usage",
+    "usage_in",
+    "usage_of",
+]
 
 CONNECT_TIMEOUT = 1.0
 RESUME_TRIES = 3
@@ -307,12 +315,20 @@
         return aiohttp.ClientTimeout(total=seconds)
 
 
+@dataclass(frozen=True)
+class Usage:
+    """Tokens of one answer: those `generated` and the `total` with the prompt's."""
+
+    generated: int
+    total: int
+
+
 def usage_in(tail):
     """
-    Return the total tokens that the end of a stream reports; ``None`` without any.
+    Return the `Usage` that the end of a stream reports; ``None`` without any.
 
-    >>> usage_in(b'data: {"usage":{"total_tokens":7}}\\n\\ndata: [DONE]\\n\\n')
-    7
+    >>> usage_in(b'data: {"usage":{"completion_tokens":2,"total_tokens":7}}\\n\\n')
+    Usage(generated=2, total=7)
     """
     for line in reversed(tail.split(EVENT_END)):
         if b'"usage"' in line and line.startswith(b"data: "):
@@ -321,11 +337,11 @@
 
 
 def usage_of(body):
-    """Return the total tokens that a JSON answer reports; ``None`` without any."""
+    """Return the `Usage` that a JSON answer reports; ``None`` without any."""
     try:
         usage = msgspec.json.decode(body).get("usage") or {}
-        return usage.get("total_tokens")
-    except (msgspec.DecodeError, AttributeError):
+        return Usage(usage["completion_tokens"], usage["total_tokens"])
+    except (msgspec.DecodeError, AttributeError, KeyError):
         return None
 
 
