--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -241,12 +241,14 @@
     return daemon.main(words)
 
 
-def show_all(directory, seed):
-    """Run every mutant, and the same faults without it; return the exit code."""
+def show_all(directory, seed, names):
+    """Run each mutant, and the same faults without it; return the exit code."""
     from proofs.run import prove
 
     failed = False
     for found in known_mutants():
+        if names and found.name not in names:
+            continue
         states = []
         for name in (found.name, ""):
             verdicts = prove(
@@ -271,8 +273,9 @@
     parser = argparse.ArgumentParser(description=show_main.__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--directory", default="runs/mutants")
+    parser.add_argument("--mutant", action="append", help="run these alone")
     options = parser.parse_args()
-    return show_all(options.directory, options.seed)
+    return show_all(options.directory, options.seed, options.mutant)
 
 
 if __name__ == "__main__":
