Explain requests, count objectives, forget ended machines; test each part

Ruled out: a failure of the fair policy seen by a new test was the test's mistake: it charged the idle customer before asking who is next; the corrected one is as strict.

--- a/rosemarypath/commands/fleet.py
+++ b/rosemarypath/commands/fleet.py
@@ -2,7 +2,7 @@
 rosemarypath.commands.fleet
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Commands on the running fleet: status, explain and drain.
+Commands on the running fleet: status, explain, drain and forget.
 """
 
 from urllib.parse import quote
@@ -21,7 +21,7 @@
 from rosemarypath.roster import Roster
 from rosemarypath.spread import FLEET
 
-__all__ = ["DrainCommand", "ExplainCommand", "StatusCommand"]
+__all__ = ["DrainCommand", "ExplainCommand", "ForgetCommand", "StatusCommand"]
 
 
 @command("status")
@@ -41,6 +41,8 @@
             f"accepted everywhere {status['accepted_revision']}",
             f"roster {status['roster_revision']}, barrier {status['barrier']}",
         ]
+        if status["waiting_for"]:
+            lines.append(f"the barrier waits for {', '.join(status['waiting_for'])}")
         for machine in status["machines"]:
             lines.append(
                 f"  machine {machine['name']} {machine['zone']} {machine['state']}"
@@ -97,3 +99,38 @@
             {"machine": machine.name, "state": state}, [f"{machine.name}: {state}"]
         )
         return 0
+
+
+@command("forget")
+class ForgetCommand(Command):
+    """Remove a machine from the roster that has ended for good.
+
+    The barrier waits for machines that nobody could prove fenced, as when most of
+    their witnesses ended with them. Only an operator can vouch that they ended.
+    """
+
+    @classmethod
+    def add_arguments(cls, parser):
+        parser.add_argument("identity", help="NAME/INCARNATION as 'status' shows it")
+        parser.add_argument(
+            "--it-has-ended",
+            action="store_true",
+            required=True,
+            help="vouch that this process has ended or can reach nobody",
+        )
+        add_store_argument(parser)
+
+    async def run(self, context, options):
+        stored = await context.store.get(FLEET, ROSTER)
+        roster = Roster.from_stored(stored)
+        if roster.find(options.identity) is None:
+            known = ", ".join(sorted(roster.members))
+            raise NotFoundError(
+                f"there is no member '{options.identity}'", f"use one of: {known}"
+            )
+        changed = roster.without({options.identity})
+        await context.store.update(FLEET, ROSTER, changed.to_spec(), stored.version)
+        context.show(
+            {"forgotten": options.identity}, [f"{options.identity} is removed"]
+        )
+        return 0
--- a/rosemarypath/daemon.py
+++ b/rosemarypath/daemon.py
@@ -17,7 +17,7 @@
 from rosemarypath.entry import EntryApi
 from rosemarypath.history import History
 from rosemarypath.httpserver import HttpServer
-from rosemarypath.levels import FIRST_TOKEN_SECONDS, ServiceLevels
+from rosemarypath.levels import FIRST_TOKEN_SECONDS, GAP_SECONDS, ServiceLevels
 from rosemarypath.link import Mesh
 from rosemarypath.log import get_logger, setup_logging
 from rosemarypath.membership import Membership, new_incarnation
@@ -39,6 +39,7 @@
 
 STALE_SECONDS = 2.0
 KEPT_REQUESTS = 1000
+SERVER_ERROR = 500
 LEAVE_TIMEOUT = 5.0
 EXIT_SETTINGS = 2
 
@@ -206,8 +207,14 @@
         cause = ""
         if seconds > FIRST_TOKEN_SECONDS:
             cause = "load_stall" if waited_for_load > seconds / 2 else "queue"
-        zone = self.settings.zone
-        self.levels.add("first_token", order.customer, zone, cause, time.time())
+        self._count_level("first_token", order.customer, cause)
+        self._count_level("refusal", order.customer, "")
+        self.note(
+            order.request,
+            outcome="answered",
+            first_byte_seconds=round(seconds, 3),
+            waited_for_load_seconds=round(waited_for_load, 3),
+        )
         self.history.write(
             "first_byte",
             request=order.request,
@@ -216,6 +223,33 @@
             waited_for_load=waited_for_load,
         )
 
+    def note_token_gap(self, order, seconds):
+        """Record the mean time between the tokens of one streamed answer."""
+        self.metrics.timing("token_gap", seconds)
+        cause = "back_end" if seconds > GAP_SECONDS else ""
+        self._count_level("token_gap", order.customer, cause)
+
+    def note_refusal(self, request, customer, outcome):
+        """Record that a request was refused with a `NotRun` or an `Unknown`."""
+        self.metrics.count(f"refused.{outcome.code}")
+        if customer and outcome.status >= SERVER_ERROR:
+            self._count_level("refusal", customer, "refusal")
+        if request:
+            self.note(request, outcome=outcome.code, not_run=outcome.tag)
+        self.history.write(
+            "refused", request=request, code=outcome.code, not_run=outcome.tag
+        )
+
+    def note(self, request, **facts):
+        """Remember `facts` about a request, for the command ``explain``."""
+        self.recent.setdefault(request, {}).update(facts)
+        while len(self.recent) > KEPT_REQUESTS:
+            self.recent.popitem(last=False)
+
+    def _count_level(self, objective, customer, cause):
+        zone = self.settings.zone
+        self.levels.add(objective, customer, zone, cause, time.time())
+
     def _on_configuration(self, configuration):
         self.history.write("configuration_adopted", revision=configuration.revision)
 
--- a/rosemarypath/entry.py
+++ b/rosemarypath/entry.py
@@ -120,11 +120,11 @@
             order = await parse(request, request_id)
             refusal = self._daemon.refusal(order, arrived)
             if refusal is not None:
-                return self._refusal(refusal, request_id)
+                return self._refusal(refusal, request_id, order.customer)
             exchange = Exchange(self._daemon, order, arrived)
             answer = await self._run_while_connected(request, exchange)
             if isinstance(answer, (NotRun, Unknown)):
-                return self._refusal(answer, request_id)
+                return self._refusal(answer, request_id, order.customer)
             if answer.response is None:
                 self._note_served(order, arrived, exchange)
                 return self._whole(answer, request_id)
@@ -187,14 +187,11 @@
         content = Content(answer.content_type.encode(), answer.body)
         return Response(answer.status, headers, content)
 
-    def _refusal(self, outcome, request_id):
+    def _refusal(self, outcome, request_id, customer=""):
         headers = [("X-Request-Id", request_id)]
         if isinstance(outcome, NotRun) and outcome.retry_after:
             headers.append(("Retry-After", f"{max(1, round(outcome.retry_after))}"))
-        self._daemon.metrics.count(f"refused.{outcome.code}")
-        self._daemon.history.write(
-            "refused", request=request_id, code=outcome.code, not_run=outcome.tag
-        )
+        self._daemon.note_refusal(request_id, customer, outcome)
         return json_response(outcome.status, refusal_body(outcome, request_id), headers)
 
     def _note_served(self, order, arrived, exchange):
--- a/rosemarypath/exchange.py
+++ b/rosemarypath/exchange.py
@@ -106,13 +106,18 @@
         """Yield the bytes of a stream; raises `BrokenStreamError`."""
         tail = b""
         events = 0
+        first_at = None
         outcome = "cancelled"
         try:
             async for chunk in self._daemon.upstream.follow(self._call, answer):
+                first_at = first_at or time.monotonic()
                 tail = (tail + chunk)[-TAIL_BYTES:]
                 events += chunk.count(b"\n\n")
                 yield chunk
             outcome = "ran"
+            if events > 1:
+                gap = (time.monotonic() - first_at) / (events - 1)
+                self._daemon.note_token_gap(self._order, gap)
         except BrokenStreamError as error:
             outcome = "silent" if error.is_silent else "broken"
             raise
@@ -194,6 +199,14 @@
             return refusal
         self._call = self._new_call(seat, adapter)
         self._started = now
+        daemon.note(
+            order.request,
+            route=order.route.name,
+            customer=order.customer,
+            adapter=adapter,
+            back_end=seat.back_end.name,
+            fence=seat.fence,
+        )
         daemon.history.write(
             "sent",
             request=order.request,
--- a/rosemarypath/operators.py
+++ b/rosemarypath/operators.py
@@ -48,6 +48,7 @@
                 "accepted_revision": daemon.relay.accepted,
                 "is_relay": daemon.relay.is_relay,
                 "witnesses": sorted(membership.standing.witnesses),
+                "waiting_for": daemon.relay.behind(),
                 "fenced": sorted(membership.fencing.fenced),
                 "machines": [
                     {"name": m.name, "zone": m.zone, "state": m.state}
--- a/rosemarypath/relay.py
+++ b/rosemarypath/relay.py
@@ -98,6 +98,19 @@
         for task in self._tasks:
             task.cancel()
 
+    def behind(self):
+        """Return the members that have not adopted this roster, as far as known."""
+        membership = self._membership
+        roster = membership.roster
+        if membership.ownership.barrier >= roster.revision:
+            return []
+        return sorted(
+            identity
+            for identity in roster.members
+            if not membership.fencing.is_fenced(identity)
+            and self._adopted.get(identity, (0, 0))[0] < roster.revision
+        )
+
     async def adoption(self):
         """Return the `AdoptionReport` of a relay; ``None`` when none answers."""
         if self.is_relay:
--- /dev/null
+++ b/tests/test_budget.py
@@ -0,0 +1,102 @@
+"""
+tests.test_budget
+~~~~~~~~~~~~~~~~~
+
+The token bucket is exact in every window, whatever is refunded.
+"""
+
+import pytest
+from hypothesis import given, strategies as st
+
+from proofs.rules import largest_excess
+from rosemarypath.budget import BudgetOwner, TokenBucket, bucket_capacity
+from rosemarypath.customer import Customer
+
+STEPS = st.lists(
+    st.tuples(
+        st.floats(0.0, 5.0), st.integers(1, 50), st.integers(0, 50), st.booleans()
+    ),
+    max_size=60,
+)
+
+
+@given(steps=STEPS, rate=st.floats(0.5, 20.0), capacity=st.floats(10.0, 100.0))
+def test_used_tokens_stay_within_rate_and_burst(steps, rate, capacity):
+    bucket = TokenBucket(rate, capacity, 0.0, level=capacity)
+    now = 0.0
+    held = []
+    used = []
+    for pause, tokens, unused, settles in steps:
+        now += pause
+        if bucket.wait_for(tokens, now) == 0.0:
+            number = bucket.take(tokens, now)
+            held.append((number, min(unused, tokens)))
+            used.append([now, tokens])
+        if settles and held:
+            number, amount = held.pop(0)
+            bucket.refund(number, amount, now)
+            used[number - 1][1] -= amount
+    settled = [tuple(entry) for entry in used]
+    assert largest_excess(settled, rate) <= capacity + 1e-6
+
+
+@given(steps=STEPS, rate=st.floats(0.5, 20.0), capacity=st.floats(10.0, 100.0))
+def test_refund_leaves_what_the_lower_amount_would_have_left(steps, rate, capacity):
+    """A bucket that knew the used amounts from the start ends at the same level."""
+    bucket = TokenBucket(rate, capacity, 0.0, level=capacity)
+    knowing = TokenBucket(rate, capacity, 0.0, level=capacity)
+    now = 0.0
+    refunds = []
+    for pause, tokens, unused, _ in steps:
+        now += pause
+        if bucket.wait_for(tokens, now) > 0.0:
+            continue
+        unused = min(unused, tokens)
+        refunds.append((bucket.take(tokens, now), unused))
+        knowing.take(tokens - unused, now)
+    for number, unused in refunds:
+        bucket.refund(number, unused, now)
+    assert bucket.level(now) == pytest.approx(knowing.level(now), abs=1e-6)
+
+
+def test_wait_is_infinite_beyond_the_capacity():
+    bucket = TokenBucket(1.0, 10.0, 0.0)
+    assert bucket.wait_for(11, 0.0) == float("inf")
+    assert bucket.wait_for(5, 0.0) == 5.0
+
+
+def test_taking_more_than_there_is_fails():
+    with pytest.raises(ValueError):
+        TokenBucket(1.0, 10.0, 0.0).take(1, 0.0)
+
+
+@pytest.fixture
+def customer():
+    return Customer(name="c", rate=100.0, burst=1000.0)
+
+
+def test_owner_begins_empty_and_fills_at_the_rate(customer):
+    owner = BudgetOwner(customer, 0.0)
+    assert owner.reserve("a", 50, 0.0) == pytest.approx(0.5)
+    assert owner.reserve("a", 50, 0.5) == 0.0
+
+
+def test_same_reservation_is_charged_once(customer):
+    owner = BudgetOwner(customer, 0.0)
+    assert owner.reserve("a", 100, 1.0) == 0.0
+    assert owner.reserve("a", 100, 1.0) == 0.0
+    assert owner.outstanding == 1
+    owner.settle("a", 0, 1.0)
+    owner.settle("a", 0, 1.0)
+    assert owner.reserve("b", 100, 1.0) == 0.0
+
+
+def test_capacity_leaves_room_for_grants_on_their_way(customer):
+    assert bucket_capacity(customer) == pytest.approx(970.0)
+
+
+def test_changed_contract_is_put_in_force(customer):
+    owner = BudgetOwner(customer, 0.0)
+    owner.set_customer(Customer(name="c", rate=10.0, burst=20.0), 0.0)
+    assert owner.reserve("a", 18, 100.0) == float("inf")
+    assert owner.reserve("a", 17, 100.0) == 0.0
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,100 @@
+"""
+tests.test_configuration
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Shards, deltas and revisions that never go back.
+"""
+
+import pytest
+
+from rosemarypath.configuration import (
+    Configuration,
+    Manifest,
+    compare,
+    split_into_shards,
+)
+from rosemarypath.rules import parse_line
+from rosemarypath.spread import ConfigurationKeeper
+
+
+def build(revision, lines, previous=None):
+    shards, contents = split_into_shards([parse_line(line) for line in lines])
+    manifest = Manifest(revision=revision, shards=shards)
+    return Configuration.from_contents(manifest, contents, previous)
+
+
+def adapters(count, version="1"):
+    return [
+        f"adapter a{n} model=m version={version if n == 0 else 1} # asked by A"
+        for n in range(count)
+    ]
+
+
+@pytest.fixture
+def keeper():
+    keeper = ConfigurationKeeper()
+    keeper.adopt(build(1, adapters(500)))
+    return keeper
+
+
+def test_configuration_holds_what_the_rules_say():
+    configuration = build(1, ["zone z accepting=no # asked by A", *adapters(3)])
+    assert not configuration.zone_accepts("z")
+    assert not configuration.zone_accepts("unknown")
+    assert configuration.adapters["a2"].engine_name == "a2@1"
+    assert len(configuration.all_rules()) == 4
+
+
+def test_compare_names_each_change():
+    old = [parse_line(line) for line in adapters(3)]
+    new = [parse_line(line) for line in adapters(2, "2")]
+    changes = [(change.action, change.name) for change in compare(old, new)]
+    assert changes == [("change", "a0"), ("remove", "a2")]
+
+
+def test_delta_carries_only_what_changed(keeper):
+    follower = ConfigurationKeeper()
+    assert follower.apply_delta(keeper.delta_since(0))
+    keeper.adopt(build(2, adapters(500, "2"), keeper.current))
+    delta = keeper.delta_since(1)
+    assert len(delta.shards) == 1
+    assert follower.apply_delta(delta)
+    assert follower.current.adapters["a0"].version == "2"
+    assert follower.revision == 2
+
+
+def test_revision_never_goes_back(keeper):
+    assert not keeper.adopt(build(1, adapters(1)))
+    assert not keeper.adopt(build(0, adapters(1)))
+    assert len(keeper.current.adapters) == 500
+
+
+def test_delta_on_an_unknown_base_is_refused(keeper):
+    follower = ConfigurationKeeper()
+    follower.apply_delta(keeper.delta_since(0))
+    keeper.adopt(build(2, adapters(500, "2"), keeper.current))
+    keeper.adopt(build(3, adapters(500, "3"), keeper.current))
+    assert not follower.apply_delta(keeper.delta_since(2))
+    assert follower.apply_delta(keeper.delta_since(follower.revision))
+
+
+def test_delta_with_missing_contents_is_refused(keeper):
+    delta = keeper.delta_since(0)
+    delta.contents.clear()
+    assert not ConfigurationKeeper().apply_delta(delta)
+
+
+def test_keeper_knows_how_long_it_is_behind(keeper):
+    keeper.hear(2, 10.0)
+    keeper.hear(2, 12.0)
+    assert keeper.behind_for(13.0) == 3.0
+    keeper.adopt(build(2, adapters(500, "2"), keeper.current))
+    assert keeper.behind_for(13.0) == 0.0
+
+
+def test_removed_shards_go(keeper):
+    follower = ConfigurationKeeper()
+    follower.apply_delta(keeper.delta_since(0))
+    keeper.adopt(build(2, adapters(1), keeper.current))
+    follower.apply_delta(keeper.delta_since(1))
+    assert set(follower.current.adapters) == {"a0"}
--- /dev/null
+++ b/tests/test_deciding.py
@@ -0,0 +1,167 @@
+"""
+tests.test_deciding
+~~~~~~~~~~~~~~~~~~~
+
+The small deciding classes: ramp, permits, placement, popularity, waits, policies.
+"""
+
+import pytest
+
+from rosemarypath.backend import BackEnd
+from rosemarypath.hashing import rendezvous_order
+from rosemarypath.messages import SeatReply
+from rosemarypath.placement import Placement
+from rosemarypath.policies import Slot, Waiter, get_policy_by_name
+from rosemarypath.popularity import Popularity
+from rosemarypath.ramp import Ramp
+from rosemarypath.waits import Waits
+from rosemarypath.weights import LoadPermits, WeightStoreLimits
+
+
+def engine(name, zone):
+    return BackEnd(name=name, address="h:1", zone=zone, kind="engine", serves="m")
+
+
+def waiter(request, customer="c", adapter="a", since=0.0, weight=1.0, cost=10):
+    return Waiter(request, customer, adapter, cost, weight, since)
+
+
+def test_ramp_grows_by_completions_and_falls_at_a_failure():
+    ramp = Ramp(2, 4)
+    for _ in range(4):
+        ramp.complete(1.0, 10)
+    assert ramp.limit == 3
+    for _ in range(20):
+        ramp.complete(1.0, 10)
+    assert ramp.limit == 4
+    ramp.fail()
+    assert ramp.limit == 2
+
+
+def test_ramp_does_not_grow_while_it_is_slow():
+    ramp = Ramp(2, 8)
+    ramp.complete(1.0, 10)
+    for _ in range(20):
+        ramp.complete(5.0, 10)
+    assert ramp.limit == 2
+
+
+@pytest.fixture
+def permits():
+    return LoadPermits(WeightStoreLimits(name="w"), 0.0)
+
+
+def test_permits_start_without_credit_and_keep_the_order(permits):
+    assert permits.acquire("first", 0.0) == pytest.approx(0.25)
+    assert permits.acquire("second", 0.0) == pytest.approx(0.5)
+    assert permits.acquire("second", 0.25) > 0.0
+    assert permits.acquire("first", 0.25) == 0.0
+    assert permits.acquire("second", 0.5) == 0.0
+
+
+def test_permits_bound_what_is_in_flight(permits):
+    for number in range(8):
+        assert permits.acquire(str(number), 1.0 + number) == 0.0
+    assert permits.acquire("late", 10.0) > 0.0
+    permits.give_back("0")
+    assert permits.acquire("late", 10.5) == 0.0
+
+
+def test_lost_permits_end(permits):
+    permits.acquire("lost", 1.0)
+    assert permits.in_flight == 1
+    permits.acquire("other", 30.0)
+    assert permits.in_flight == 1
+
+
+def test_placement_keeps_an_adapter_at_its_home():
+    back_ends = [engine(f"e{n}", f"z{n % 3}") for n in range(6)]
+    homes = {Placement(f"z{n}").rank("a@1", back_ends, 0.0)[0].name for n in range(3)}
+    assert len(homes) == 1
+
+
+def test_placement_leaves_a_crowded_home_and_comes_back():
+    back_ends = [engine(f"e{n}", f"z{n % 3}") for n in range(6)]
+    placement = Placement("z0")
+    home = placement.rank("a@1", back_ends, 0.0)[0].name
+    crowded = SeatReply(False, "busy", 0, 5.0, 0.3, True)
+    placement.note_reply(home, "a@1", crowded, 0.0)
+    assert placement.rank("a@1", back_ends, 0.0)[0].name != home
+    assert placement.rank("a@1", back_ends, 10.0)[0].name == home
+
+
+def test_popularity_outlives_many_others():
+    popularity = Popularity(most=10)
+    for _ in range(5):
+        popularity.count("hot", 0.0)
+    for number in range(50):
+        popularity.count(f"rare{number}", 1.0)
+    assert popularity.of("hot", 1.0) > 4.0
+    assert popularity.of("unknown", 1.0) == 0.0
+
+
+def test_waits_count_turns():
+    waits = Waits(2)
+    assert waits.load_wait(4) == pytest.approx(0.9)
+    waits.note_seat(1.0)
+    assert waits.seat_wait(False) == 0.0
+    assert waits.seat_wait(True) == pytest.approx(0.2)
+
+
+def test_fair_policy_serves_by_tokens_for_weight():
+    policy = get_policy_by_name("fair")()
+    served = {"heavy": 0, "light": 0}
+    for number in range(300):
+        waiting = [
+            waiter("h", "heavy", weight=2.0, since=number),
+            waiter("l", "light", weight=1.0, since=number),
+        ]
+        chosen = policy.choose(waiting, lambda adapter: True, 0.0)
+        policy.charge(chosen, 0.0)
+        served[chosen.customer] += 1
+    assert served["heavy"] == pytest.approx(200, abs=2)
+
+
+def test_fair_policy_lets_nobody_save_up():
+    policy = get_policy_by_name("fair")()
+    for _ in range(100):
+        policy.charge(waiter("r", "busy"), 0.0)
+    waiting = [waiter("i", "idle", since=1.0), waiter("b", "busy", since=0.0)]
+    turns = [policy.choose(waiting, lambda a: True, 0.0).customer]
+    policy.charge(waiting[0], 0.0)
+    turns.append(policy.choose(waiting, lambda a: True, 0.0).customer)
+    assert turns == ["idle", "busy"]
+
+
+def test_fair_policy_skips_what_is_not_loaded():
+    policy = get_policy_by_name("fair")()
+    waiting = [waiter("1", adapter="cold"), waiter("2", adapter="warm", since=1.0)]
+    is_ready = {"warm"}.__contains__
+    assert policy.choose(waiting, is_ready, 0.0).request == "2"
+    assert policy.choose_load(waiting, is_ready, 0.0).request == "1"
+
+
+@pytest.mark.parametrize("name", ["fair", "baseline"])
+def test_victims_are_idle_and_not_waited_for(name):
+    policy = get_policy_by_name(name)()
+    slots = [Slot("used", in_use=1), Slot("wanted"), Slot("idle", used_at=5.0)]
+    victim = policy.choose_victim(slots, [waiter("1", adapter="wanted")], 10.0)
+    assert victim.adapter == "idle"
+    assert policy.choose_victim(slots[:2], [waiter("1", adapter="wanted")], 10) is None
+
+
+def test_baseline_serves_in_order():
+    policy = get_policy_by_name("baseline")()
+    waiting = [waiter("1", adapter="cold"), waiter("2", adapter="warm")]
+    assert policy.choose(waiting, {"warm"}.__contains__, 0.0) is None
+    assert policy.choose_load(waiting, {"warm"}.__contains__, 0.0).request == "1"
+
+
+def test_rendezvous_moves_little():
+    names = [f"n{n}" for n in range(9)]
+    resources = [f"r{n}" for n in range(500)]
+    moved = sum(
+        rendezvous_order(r, names)[0] != rendezvous_order(r, names[:-1])[0]
+        for r in resources
+    )
+    assert 20 < moved < 110
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,184 @@
+"""
+tests.test_membership
+~~~~~~~~~~~~~~~~~~~~~
+
+Roster, witnesses, standing, proofs and ownership, each by itself.
+"""
+
+import msgspec
+import pytest
+
+from rosemarypath.fencing import Fencing
+from rosemarypath.machine import DRAINING, Machine
+from rosemarypath.ownership import FENCE_POSITIONS, Ownership
+from rosemarypath.roster import Roster, choose_witnesses
+from rosemarypath.standing import Standing
+from rosemarypath.witness import Witness
+
+
+def machine(name, zone="z", witnesses=(), incarnation="1"):
+    return Machine(
+        name=name,
+        incarnation=incarnation,
+        zone=zone,
+        callers_address="",
+        peers_address=f"{name}:1",
+        witnesses=tuple(witnesses),
+    )
+
+
+def roster_of(*machines, revision=1):
+    return Roster(revision=revision, machines={m.name: m for m in machines})
+
+
+@pytest.fixture
+def five():
+    ids = [f"n{n}/1" for n in range(5)]
+    return roster_of(*(machine(f"n{n}", f"z{n % 3}", ids) for n in range(5)))
+
+
+def test_replaced_incarnation_departs(five):
+    changed = five.with_machine(machine("n0", incarnation="2"))
+    assert "n0/1" in changed.departed
+    assert changed.is_current("n0/2")
+    assert changed.find("n0/1").name == "n0"
+    assert "n0/1" not in changed.without({"n0/1"}).members
+
+
+def test_draining_machines_own_nothing(five):
+    draining = msgspec.structs.replace(five.machines["n0"], state=DRAINING)
+    assert "n0/1" not in five.with_machine(draining).candidates
+
+
+def test_succession_keeps_its_order_over_restarts(five):
+    before = [i.partition("/")[0] for i in five.succession("r")]
+    restarted = five.with_machine(machine("n0", incarnation="2"))
+    assert [i.partition("/")[0] for i in restarted.succession("r")] == before
+
+
+def test_relays_come_from_every_zone(five):
+    zones = [five.find(relay).zone for relay in five.relays()]
+    assert set(zones) == {"z0", "z1", "z2"}
+    assert len(zones) == 5
+
+
+def test_witnesses_spread_over_zones_and_are_kept():
+    others = [machine(f"m{n}", f"z{n % 4}") for n in range(9)]
+    roster = roster_of(*others)
+    chosen = choose_witnesses(others[0], roster)
+    assert chosen[0] == "m0/1"
+    assert len(chosen) == 5
+    zones = {roster.find(identity).zone for identity in chosen}
+    assert len(zones) == 4
+    kept = msgspec.structs.replace(others[0], witnesses=chosen)
+    again = choose_witnesses(kept, roster.with_machine(kept), {chosen[1]})
+    assert len(set(chosen) & set(again)) == 4
+    assert chosen[1] not in again
+
+
+def test_standing_needs_most_witnesses_within_the_lease():
+    standing = Standing("a/1", 1.5)
+    assert not standing.is_good(0.0)
+    standing.require(1, ["a/1", "b/1", "c/1"])
+    assert not standing.is_good(10.0)
+    standing.acknowledge("b/1", 9.0)
+    assert standing.is_good(10.0)
+    assert not standing.is_good(10.5)
+
+
+def test_standing_needs_old_and_new_sets_until_the_barrier():
+    standing = Standing("a/1", 1.5)
+    standing.require(1, ["a/1", "b/1", "c/1"])
+    standing.require(2, ["a/1", "d/1", "e/1"])
+    standing.acknowledge("d/1", 10.0)
+    assert not standing.is_good(10.0)
+    standing.forget_before(2)
+    assert standing.is_good(10.0)
+
+
+def test_refused_standing_is_lost():
+    standing = Standing("a/1", 1.5)
+    standing.require(1, ["a/1", "b/1", "c/1"])
+    standing.refuse("b/1")
+    assert not standing.is_lost()
+    standing.refuse("c/1")
+    assert standing.is_lost()
+
+
+def test_witness_never_acknowledges_after_testifying(five):
+    witness = Witness("n1/1", 1.8)
+    assert witness.hear("n0/1", 0.0)
+    assert witness.testify(five, 1.0) == []
+    assert "n0/1" in witness.testify(five, 2.0)
+    assert not witness.hear("n0/1", 2.1)
+
+
+def test_paused_witness_excuses_all(five):
+    witness = Witness("n1/1", 1.8)
+    witness.hear("n0/1", 0.0)
+    witness.excuse_all(10.0)
+    assert witness.testify(five, 10.5) == []
+
+
+def test_proof_needs_most_witnesses(five):
+    fencing = Fencing()
+    assert not fencing.add_testimony("n1/1", "n0/1", five)
+    assert not fencing.add_testimony("n2/1", "n0/1", five)
+    assert not fencing.add_testimony("n2/1", "n0/1", five)
+    assert not fencing.add_testimony("stranger/1", "n0/1", five)
+    assert fencing.add_testimony("n3/1", "n0/1", five)
+    assert fencing.is_fenced("n0/1")
+
+
+def test_proof_is_void_when_the_machine_changed_its_witnesses(five):
+    fencing = Fencing()
+    fencing.add_fact("n0/1", five)
+    changed = machine("n0", "z0", ["n0/1", "n1/1", "n4/1"])
+    newer = msgspec.structs.replace(five.with_machine(changed), revision=2)
+    assert not fencing.proof_holds("n0/1", newer)
+    fencing.adopt(newer)
+    assert not fencing.is_fenced("n0/1")
+
+
+@pytest.fixture
+def owner(five):
+    first = five.succession("r")[0]
+    ownership = Ownership(first, Fencing())
+    ownership.adopt(five)
+    return ownership
+
+
+def test_owner_waits_for_the_barrier(owner, five):
+    assert owner.fence_of("r") is None
+    owner.raise_barrier(1)
+    assert owner.fence_of("r") == FENCE_POSITIONS
+
+
+def test_owner_keeps_what_did_not_move(owner, five):
+    owner.raise_barrier(1)
+    owner.fence_of("r")
+    newer = msgspec.structs.replace(five, revision=2)
+    assert owner.adopt(newer) == set()
+    assert owner.fence_of("r") == 2 * FENCE_POSITIONS
+
+
+def test_successor_takes_over_after_the_proof(five):
+    first, second = five.succession("r")[:2]
+    fencing = Fencing()
+    successor = Ownership(second, fencing)
+    successor.adopt(five)
+    successor.raise_barrier(1)
+    assert successor.fence_of("r") is None
+    fencing.add_fact(first, five)
+    assert successor.fence_of("r") == FENCE_POSITIONS + 1
+    assert successor.owner_of("r") == second
+
+
+def test_owner_releases_what_moved(owner, five):
+    owner.raise_barrier(1)
+    owner.fence_of("r")
+    first = five.succession("r")[0].partition("/")[0]
+    draining = msgspec.structs.replace(five.machines[first], state=DRAINING)
+    newer = msgspec.structs.replace(five.with_machine(draining), revision=2)
+    assert owner.adopt(newer) == {"r"}
+    assert owner.fence_of("r") is None
