--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,14 @@
 # make demo: sets up, runs the whole path on the stand-ins and prints what happened.
 # make test: sets up, checks format and style, runs all tests.
+# make proofs SEED=n: checks what must always hold on a faulty run.
 
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint
+SEED ?= 1
+
+.PHONY: setup demo test lint proofs mutants slopes bench
 
 setup: $(VENV)/.done
 
@@ -24,3 +27,15 @@
 
 test: lint
 	$(BIN)/python -m pytest
+
+proofs: setup
+	$(BIN)/python -m proofs.run --seed $(SEED)
+
+mutants: setup
+	$(BIN)/python -m proofs.mutants --seed $(SEED)
+
+slopes: setup
+	$(BIN)/python -m bench.slopes
+
+bench: setup
+	$(BIN)/python -m bench.compare
--- a/bench/callers.py
+++ b/bench/callers.py
@@ -32,7 +32,9 @@
     requests a second, ``seconds``, ``tries``, and ``customers``: a list with ``name``,
     ``secret``, ``share``, ``models`` (most popular first), ``service`` or empty,
     ``service_share``, ``max_tokens``, ``prompts`` and ``prompt_bytes``, and if wanted
-    ``trespass``, other customers' models, with ``trespass_share``.
+    ``trespass``, other customers' models, with ``trespass_share``. Optional are
+    ``zipf``, the exponent of the models' popularity, and ``rate_factors``, pairs of
+    seconds and the factor of the rate from then on.
     """
 
     def __init__(self, plan, history):
@@ -90,7 +92,8 @@
 
     def _completion(self, customer):
         models = customer["models"]
-        weights = [1.0 / (rank + 1) ** ZIPF_EXPONENT for rank in range(len(models))]
+        exponent = self._plan.get("zipf", ZIPF_EXPONENT)
+        weights = [1.0 / (rank + 1) ** exponent for rank in range(len(models))]
         if self._random.random() < customer.get("trespass_share", 0.0):
             models, weights = customer["trespass"], None
         prefix = self._random.choice(range(customer["prompts"]))
--- a/rosemarypath/daemon.py
+++ b/rosemarypath/daemon.py
@@ -25,13 +25,14 @@
 from rosemarypath.operators import OperatorsApi
 from rosemarypath.outcome import NotRun
 from rosemarypath.owners import Owners
-from rosemarypath.placement import Placement
+from rosemarypath.placement import Placement, RandomPlacement
 from rosemarypath.policies import get_policy_by_name
 from rosemarypath.relay import Relay
 from rosemarypath.retry import RetryBudget
 from rosemarypath.seatclient import SeatClient
 from rosemarypath.settings import load_settings
 from rosemarypath.spread import ConfigurationKeeper
+from rosemarypath.staticbudget import StaticBudgets
 from rosemarypath.store import StoreClient
 from rosemarypath.upstream import Upstream
 
@@ -85,9 +86,14 @@
             self.mesh,
             settings.timing.heartbeat,
         )
-        self.placement = Placement(settings.zone)
+        policy = get_policy_by_name(settings.policy)
+        placement = Placement if policy.has_homes else RandomPlacement
+        self.placement = placement(settings.zone)
         self.seats = SeatClient(self.membership, self.mesh, self.placement)
-        self.budgets = BudgetClient(self.membership, self.mesh)
+        if policy.has_budget_owners:
+            self.budgets = BudgetClient(self.membership, self.mesh)
+        else:
+            self.budgets = StaticBudgets(self.membership, self.keeper)
         self.retries = RetryBudget()
         self.upstream = Upstream(settings.timing)
         self.entry = EntryApi(self)
--- a/rosemarypath/placement.py
+++ b/rosemarypath/placement.py
@@ -5,11 +5,12 @@
 Which back end to ask for a seat: adapter homes and what owners last said.
 """
 
+import random
 from dataclasses import dataclass
 
 from rosemarypath.hashing import spread_order
 
-__all__ = ["Hint", "Placement"]
+__all__ = ["Hint", "Placement", "RandomPlacement"]
 
 HINT_SECONDS = 2.0
 RESIDENT_SECONDS = 30.0
@@ -85,3 +86,12 @@
         if adapter and (at is None or now - at > RESIDENT_SECONDS):
             cost += hint.load_wait + EVICTION_COST + POSITION_COST * position
         return cost
+
+
+class RandomPlacement(Placement):
+    """Takes back ends at random, those with a free seat first."""
+
+    def _cost(self, adapter, back_end, position, now):
+        hint = self._hints.get(back_end.name)
+        is_full = hint is not None and hint.seat_wait > 0.0
+        return (is_full and now - hint.at < HINT_SECONDS) + random.random()
--- a/rosemarypath/policies/__init__.py
+++ b/rosemarypath/policies/__init__.py
@@ -68,9 +68,18 @@
 
     `waiting` are `Waiter` objects in the order they came, `is_ready` tells whether an
     adapter can be used at once.
+
+    Options:
+
+    `has_homes`
+        Whether each adapter has a home, or any back end is taken (default true).
+    `has_budget_owners`
+        Whether budgets have owners, or each daemon a fixed share (default true).
     """
 
     name = ""
+    has_homes = True
+    has_budget_owners = True
 
     def choose(self, waiting, is_ready, now):
         """Return the waiter to seat next, or ``None``."""
--- a/rosemarypath/policies/baseline.py
+++ b/rosemarypath/policies/baseline.py
@@ -12,7 +12,15 @@
 
 @policy("baseline")
 class BaselinePolicy(SeatPolicy):
-    """Seats and loads in the order of arrival, evicts the least recently used."""
+    """
+    Seats and loads in the order of arrival, evicts the least recently used.
+
+    Back ends are taken at random among those with a free seat, and every daemon
+    has a fixed share of each customer's rate.
+    """
+
+    has_homes = False
+    has_budget_owners = False
 
     def choose(self, waiting, is_ready, now):
         if waiting and is_ready(waiting[0].adapter):
