--- /dev/null
+++ b/bench/links.py
@@ -0,0 +1,54 @@
+"""
+bench.links
+~~~~~~~~~~~
+
+Measures the processor time of asks between two daemons' link ends.
+"""
+
+import asyncio
+import sys
+import time
+
+from bench.fleet import free_ports
+from rosemarypath.link import Mesh
+from rosemarypath.messages import SeatAsk, SeatReply
+
+__all__ = ["main", "seconds_per_ask"]
+
+ASKS = 3000
+PARALLEL = (1, 8)
+
+
+async def seconds_per_ask(parallel):
+    """Return the processor seconds of one ask and its reply, over both ends."""
+    ports = free_ports(2)
+    first, second = (Mesh(f"n/{port}", f"127.0.0.1:{port}") for port in ports)
+    first.learn(second.identity, f"127.0.0.1:{ports[1]}")
+    second.on(SeatAsk, lambda sender, message: SeatReply(True, "", 1))
+    await first.start()
+    await second.start()
+    message = SeatAsk("engine-1", "0" * 24, "customer", "adapter@1", 100, 1.0)
+    await first.ask(second.identity, message, 2.0)
+    started = time.process_time()
+
+    async def ask_many():
+        for _ in range(ASKS // parallel):
+            await first.ask(second.identity, message, 2.0)
+
+    await asyncio.gather(*(ask_many() for _ in range(parallel)))
+    used = time.process_time() - started
+    await first.stop()
+    await second.stop()
+    return used / ASKS
+
+
+def main():
+    """Print the figures; return the exit code."""
+    for parallel in PARALLEL:
+        seconds = asyncio.run(seconds_per_ask(parallel))
+        print(f"{parallel} asks at once: {seconds * 1e6:.0f} us an ask, both ends")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/rosemarypath/configuration.py
+++ b/rosemarypath/configuration.py
@@ -6,6 +6,8 @@
 """
 
 import hashlib
+import sys
+import zlib
 from dataclasses import dataclass, field
 
 import msgspec
@@ -15,12 +17,55 @@
 from rosemarypath.rules import parse_line
 from rosemarypath.weights import WeightStoreLimits
 
-__all__ = ["Change", "Configuration", "Manifest", "compare", "split_into_shards"]
+__all__ = [
+    "Change",
+    "Configuration",
+    "Manifest",
+    "Shard",
+    "compare",
+    "split_into_shards",
+]
 
 SHARD_COUNT = 256
 DIGEST_LENGTH = 32
 
 
+class Shard(msgspec.Struct, frozen=True):
+    """
+    The rules of one shard: objects to look up, and their lines in compressed form.
+
+    `entries` are ``(kind, name, object)``.
+    """
+
+    entries: tuple
+    packed: bytes
+
+    @property
+    def lines(self):
+        """Return the canonical lines."""
+        return zlib.decompress(self.packed).decode().split("\n")
+
+    @classmethod
+    def from_lines(cls, lines):
+        """Parse `lines`, sharing equal strings among all shards."""
+        rules = [parse_line(line) for line in lines]
+        entries = tuple(
+            (sys.intern(rule.kind), sys.intern(rule.name), _interned(rule.item))
+            for rule in rules
+        )
+        return cls(entries, zlib.compress("\n".join(lines).encode()))
+
+
+def _interned(item):
+    """Return `item` with its strings shared."""
+    changes = {
+        name: sys.intern(value)
+        for name in item.__struct_fields__
+        if type(value := getattr(item, name)) is str
+    }
+    return msgspec.structs.replace(item, **changes)
+
+
 class Manifest(msgspec.Struct, frozen=True, kw_only=True):
     """
     One revision of the configuration.
@@ -99,7 +144,7 @@
     `manifest`
         The revision and its shards (default: revision 0, no shards).
     `rules`
-        Maps a shard's hash to the rules in it.
+        Maps a shard's hash to the `Shard`.
     """
 
     manifest: Manifest = Manifest()
@@ -131,7 +176,7 @@
             if digest in known:
                 parsed[digest] = known[digest]
             else:
-                parsed[digest] = tuple(parse_line(text) for text in contents[digest])
+                parsed[digest] = Shard.from_lines(contents[digest])
         return cls._from_parsed(manifest, parsed)
 
     @classmethod
@@ -145,14 +190,14 @@
         }
         keys = {}
         weight_store = WeightStoreLimits(name="default")
-        for rules in parsed.values():
-            for rule in rules:
-                if rule.kind == "key":
-                    keys[rule.item.digest] = rule.item
-                elif rule.kind == "weight-store":
-                    weight_store = rule.item
+        for shard in parsed.values():
+            for kind, name, item in shard.entries:
+                if kind == "key":
+                    keys[item.digest] = item
+                elif kind == "weight-store":
+                    weight_store = item
                 else:
-                    tables[rule.kind][rule.name] = rule.item
+                    tables[kind][name] = item
         return cls(
             manifest=manifest,
             rules=parsed,
@@ -181,15 +226,13 @@
 
     def lines_of(self, digests):
         """Return the lines of the shards `digests`, by hash."""
-        return {
-            digest: [rule.text for rule in self.rules[digest]]
-            for digest in digests
-            if digest
-        }
+        return {digest: self.rules[digest].lines for digest in digests if digest}
 
     def all_rules(self):
         """Return every rule, ordered by kind and name."""
-        rules = [rule for shard in self.rules.values() for rule in shard]
+        rules = [
+            parse_line(line) for shard in self.rules.values() for line in shard.lines
+        ]
         return sorted(rules, key=lambda rule: (rule.kind, rule.name))
 
     def engines_for(self, model):
--- a/rosemarypath/policies/__init__.py
+++ b/rosemarypath/policies/__init__.py
@@ -95,3 +95,6 @@
 
     def charge(self, waiter, now):
         """Record that `waiter` was seated."""
+
+    def charge_load(self, waiter, now):
+        """Record that the adapter of `waiter` is being loaded."""
--- a/rosemarypath/policies/fair.py
+++ b/rosemarypath/policies/fair.py
@@ -2,13 +2,15 @@
 rosemarypath.policies.fair
 ~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Weighted fair sharing by tokens, with loads grouped by adapter.
+Weighted fair sharing of tokens and of loads.
 """
 
 from rosemarypath.policies import SeatPolicy, policy
 
 __all__ = ["FairPolicy"]
 
+EACH_WAITER_SECONDS = 0.1
+
 
 @policy("fair")
 class FairPolicy(SeatPolicy):
@@ -16,18 +18,33 @@
     Serves the customer that has had the fewest tokens for its weight.
 
     A customer that was idle starts at the level of those that were not, so that it
-    cannot save up a claim.
+    cannot save up a claim. Loads are shared in the same manner, by their number, since
+    a customer may use many tokens of few adapters; of its adapters the one is loaded
+    whose requests have waited longest in all.
     """
 
     def __init__(self):
-        self._served = {}
-        self._floor = 0.0
+        self._tokens = _Shares()
+        self._loads = _Shares()
 
     def choose(self, waiting, is_ready, now):
-        return self._first([w for w in waiting if is_ready(w.adapter)])
+        ready = [waiter for waiter in waiting if is_ready(waiter.adapter)]
+        return min(
+            ready, key=lambda w: (self._tokens.level(w.customer), w.since), default=None
+        )
 
     def choose_load(self, waiting, is_ready, now):
-        return self._first([w for w in waiting if not is_ready(w.adapter)])
+        waited = {}
+        for waiter in waiting:
+            if not is_ready(waiter.adapter):
+                seconds = now - waiter.since + EACH_WAITER_SECONDS
+                waited[waiter.adapter] = waited.get(waiter.adapter, 0.0) + seconds
+        absent = [waiter for waiter in waiting if waiter.adapter in waited]
+        return min(
+            absent,
+            key=lambda w: (self._loads.level(w.customer), -waited[w.adapter]),
+            default=None,
+        )
 
     def choose_victim(self, slots, waiting, now):
         wanted = {waiter.adapter for waiter in waiting}
@@ -35,13 +52,24 @@
         return min(idle, key=lambda s: (s.popularity, s.used_at), default=None)
 
     def charge(self, waiter, now):
-        start = max(self._served.get(waiter.customer, 0.0), self._floor)
-        self._floor = start
-        self._served[waiter.customer] = start + waiter.cost / waiter.weight
+        self._tokens.charge(waiter.customer, waiter.cost / waiter.weight)
+
+    def charge_load(self, waiter, now):
+        self._loads.charge(waiter.customer, 1.0 / waiter.weight)
+
+
+class _Shares:
+    """What each customer has had, for its weight."""
+
+    def __init__(self):
+        self._had = {}
+        self._floor = 0.0
 
-    def _first(self, waiters):
-        def level(waiter):
-            served = max(self._served.get(waiter.customer, 0.0), self._floor)
-            return served, waiter.since
+    def level(self, customer):
+        """Return what `customer` has had, at least what the last one served had."""
+        return max(self._had.get(customer, 0.0), self._floor)
 
-        return min(waiters, key=level, default=None)
+    def charge(self, customer, amount):
+        """Add `amount` to what `customer` has had."""
+        self._floor = self.level(customer)
+        self._had[customer] = self._floor + amount
--- a/rosemarypath/slots.py
+++ b/rosemarypath/slots.py
@@ -145,6 +145,7 @@
         waiter = self._next_load(time.monotonic())
         if waiter is None:
             return True
+        self._policy.charge_load(waiter, time.monotonic())
         adapter = waiter.adapter
         self._loading.add(adapter)
         try:
