--- /dev/null
+++ b/bench/datapath.py
@@ -0,0 +1,117 @@
+"""
+bench.datapath
+~~~~~~~~~~~~~~
+
+Measures what the daemon adds to a stream: processor time a chunk, time to first byte.
+"""
+
+import argparse
+import asyncio
+import json
+import sys
+import tempfile
+import time
+from statistics import median
+
+import aiohttp
+
+from bench.fleet import Fleet, FleetPlan
+from bench.usage import read_usage
+
+__all__ = ["main"]
+
+TOKENS = 200
+STREAMS = 8
+
+
+async def stream_once(session, url, headers, order):
+    """Return ``(seconds to first byte, chunks)`` of one streamed answer."""
+    started = time.perf_counter()
+    first = None
+    events = 0
+    async with session.post(url, data=json.dumps(order), headers=headers) as response:
+        async for chunk in response.content.iter_any():
+            first = first or time.perf_counter() - started
+            events += chunk.count(b"\n\n")
+    return first, events
+
+
+async def measure(fleet, rounds):
+    """Stream directly and through the daemon in turns; return the figures."""
+    engine = fleet.addresses["engine-1"]
+    entry = fleet.callers_address("entry-1")
+    headers = {"Content-Type": "application/json"}
+    key = {**headers, "Authorization": f"Bearer {fleet.secrets['c']}"}
+    order = {"stream": True, "max_tokens": TOKENS, "messages": []}
+    pid = fleet.process("entry-1").pid
+    direct, through = [], []
+    events = 0
+    used = 0.0
+    async with aiohttp.ClientSession() as session:
+        for number in range(rounds + 1):
+            url = f"http://{engine}/v1/chat/completions"
+            plain = {**order, "model": "base"}
+            firsts = await asyncio.gather(
+                *(
+                    stream_once(
+                        session,
+                        url,
+                        {
+                            **headers,
+                            "X-Request-Id": f"d{number}-{n}",
+                        },
+                        plain,
+                    )
+                    for n in range(STREAMS)
+                )
+            )
+            before = read_usage(pid).cpu
+            url = f"http://{entry}/v1/chat/completions"
+            seconds = await asyncio.gather(
+                *(
+                    stream_once(session, url, key, {**order, "model": "a0"})
+                    for _ in range(STREAMS)
+                )
+            )
+            if number:
+                used += read_usage(pid).cpu - before
+                events += sum(count for _, count in seconds)
+                direct += [first for first, _ in firsts]
+                through += [first for first, _ in seconds]
+    return used / events, median(direct), median(through)
+
+
+def main(args=None):
+    """Print the figures; return the exit code."""
+    parser = argparse.ArgumentParser(description="measure the data path")
+    parser.add_argument("--rounds", type=int, default=4)
+    options = parser.parse_args(args)
+    plan = FleetPlan(
+        machines=1,
+        engines=1,
+        services=0,
+        adapters=1,
+        zones=("zone-a",),
+        customers={"c": {"rate": 1000000, "burst": 2000000}},
+        engine_options={
+            "capacity": 16,
+            "cold-capacity": 16,
+            "step-ms": 4,
+            "fences": "no",
+        },
+        engine_rule={"capacity": 16, "cold_capacity": 16, "fences": "no"},
+    )
+    with tempfile.TemporaryDirectory() as directory:
+        with Fleet(plan, directory) as fleet:
+            fleet.wait_in_standing()
+            per_chunk, direct, through = asyncio.run(measure(fleet, options.rounds))
+    print(f"processor time a forwarded event: {per_chunk * 1e6:.0f} us")
+    print(
+        f"time to first byte: direct {direct * 1000:.1f} ms, "
+        f"through the daemon {through * 1000:.1f} ms"
+    )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
