Work out relays, witnesses and floors only when something changed

Cause: reading for 450 daemons: relays() hashed the whole roster eight times a second, choose_witnesses twice, and a relay went over all members for each of 85 adoption messages a second, about 1.3 % of a core together by the cost of a hash (0.6 us).

Change: relays are kept with the roster, a good witness set is remembered, floors are worked out at most 20 times a second.

--- a/rosemarypath/membership.py
+++ b/rosemarypath/membership.py
@@ -79,6 +79,7 @@
         self._writing = False
         self._keeping = None
         self.roster = Roster()
+        self.relays = ()
         self._begin(mesh.identity)
         mesh.on(Heartbeat, self._on_heartbeat)
         mesh.on(HeartbeatAck, self._on_ack)
@@ -94,6 +95,7 @@
         self.ownership = Ownership(identity, self.fencing)
         self._begun_at = time.monotonic()
         self._was_in_standing = False
+        self._witnesses_good_at = None
 
     @property
     def machine(self):
@@ -139,6 +141,7 @@
         if roster.revision <= self.roster.revision:
             return
         self.roster = roster
+        self.relays = tuple(roster.relays())
         for identity, machine in roster.members.items():
             self._mesh.learn(identity, machine.peers_address)
         self._mesh.forget_all_but(roster.members)
@@ -203,6 +206,7 @@
         self._begin(f"{name}/{new_incarnation()}")
         self._mesh.identity = self.identity
         self.roster = Roster()
+        self.relays = ()
         self._bad_since = None
         while not await self._join({fenced}):
             await asyncio.sleep(JOIN_RETRY_SECONDS)
@@ -298,12 +302,11 @@
             self._mesh.send(witness, message, expect_answer=True)
 
     def _send_testimonies(self, now):
-        relays = self.roster.relays()
         for about in self.witness.testify(self.roster, now):
             if self.fencing.is_fenced(about):
                 continue
             self._history.write("testified", about=about)
-            for relay in relays:
+            for relay in self.relays:
                 self._mesh.send(relay, Testimony(about))
 
     async def _keep_roster(self, now):
@@ -312,8 +315,7 @@
             machine = self.machine
             if machine is None:
                 return
-            wanted = choose_witnesses(machine, self.roster, self.fencing.fenced)
-            if sorted(wanted) != sorted(machine.witnesses):
+            if self._wants_other_witnesses(machine):
                 if await self._change_roster(self._with_own_state):
                     self.standing.settle_pending()
             ended = self._own_ended_incarnations(now)
@@ -325,6 +327,17 @@
         finally:
             self._writing = False
 
+    def _wants_other_witnesses(self, machine):
+        """Return whether the witness set should change; remembers a no."""
+        state = (self.roster.revision, self.fencing.fenced)
+        if state == self._witnesses_good_at:
+            return False
+        wanted = choose_witnesses(machine, self.roster, self.fencing.fenced)
+        if sorted(wanted) != sorted(machine.witnesses):
+            return True
+        self._witnesses_good_at = state
+        return False
+
     def _own_ended_incarnations(self, now):
         """
         Return earlier incarnations of this machine that can never act again.
@@ -352,7 +365,7 @@
 
     def _removable(self, now):
         """Return the fenced members that it falls to this daemon to remove by now."""
-        relays = [r for r in self.roster.relays() if not self.fencing.is_fenced(r)]
+        relays = [r for r in self.relays if not self.fencing.is_fenced(r)]
         if self.identity not in relays:
             return set()
         delay = relays.index(self.identity) * REMOVE_SECONDS_PER_RANK
--- a/rosemarypath/relay.py
+++ b/rosemarypath/relay.py
@@ -36,6 +36,7 @@
 ASK_TIMEOUT = 0.5
 WATCH_RETRY_SECONDS = (0.05, 0.5)
 WITHOUT_NEWS_SECONDS = 3.0
+FLOOR_SECONDS = 0.05
 
 _log = get_logger("relay")
 
@@ -69,6 +70,7 @@
         self._news_at = time.monotonic()
         self._turn = 0
         self._tasks = []
+        self._floor_timer = None
         self.accepted = 0
         self.leaving = frozenset()
         membership.report_revisions_to(self._note_adopted)
@@ -81,7 +83,7 @@
     @property
     def is_relay(self):
         """Return whether this daemon is one of the relays."""
-        return self._membership.identity in self._membership.roster.relays()
+        return self._membership.identity in self._membership.relays
 
     async def start(self):
         """Read the configuration, waiting for the object API, and start the tasks."""
@@ -115,7 +117,7 @@
         """Return the `AdoptionReport` of a relay; ``None`` when none answers."""
         if self.is_relay:
             return self._on_adoption_ask(self._membership.identity, AdoptionAsk())
-        for relay in self._membership.roster.relays():
+        for relay in self._membership.relays:
             report = await self._mesh.ask(relay, AdoptionAsk(), ASK_TIMEOUT)
             if report is not None:
                 return report
@@ -204,7 +206,7 @@
         """Return the relay to ask now: one of the own zone while it answers."""
         roster = self._membership.roster
         zone = self._membership.machine.zone if self._membership.machine else ""
-        relays = [r for r in roster.relays() if r != self._membership.identity]
+        relays = [r for r in self._membership.relays if r != self._membership.identity]
         relays = [r for r in relays if not self._membership.fencing.is_fenced(r)]
         if not relays:
             return None
@@ -250,7 +252,7 @@
         )
         if is_known:
             return
-        for relay in membership.roster.relays():
+        for relay in membership.relays:
             if relay != membership.identity:
                 self._mesh.send(relay, Adopted(*revisions))
 
@@ -283,6 +285,12 @@
             sender, message.roster_revision, message.configuration_revision
         )
         self._keeper.hear(message.configuration_revision, time.monotonic())
+        if self._floor_timer is None:
+            loop = asyncio.get_running_loop()
+            self._floor_timer = loop.call_later(FLOOR_SECONDS, self._on_floor_timer)
+
+    def _on_floor_timer(self):
+        self._floor_timer = None
         self._update_floor()
 
     def _on_news_ask(self, sender, message):
