--- a/proofs/faults.py
+++ b/proofs/faults.py
@@ -8,9 +8,11 @@
 import random
 from dataclasses import dataclass
 
+from rosemarypath.registry import Registry
+
 __all__ = ["Fault", "draw_plan", "fault", "get_fault_by_name", "known_faults"]
 
-_faults = {}
+_faults = Registry()
 FIRST_SECONDS = 4.0
 SPACING_SECONDS = 4.5
 
@@ -27,18 +29,16 @@
 
 def fault(name, targets, seconds):
     """
-    Register a pair of functions, begin and end, as the fault `name`.
+    Register a class with the steps begin and end as the fault `name`.
 
-    `targets` is ``machine``, ``engine``, ``service``, ``zone`` or empty; `seconds`
-    the shortest and the longest time it lasts.
+    `targets` is ``machine``, ``engine``, ``service``, ``zone``, ``customer``,
+    ``adapter`` or empty; `seconds` the shortest and the longest time it lasts.
     """
 
     def register(cls):
-        cls.name = name
         cls.targets = targets
         cls.seconds = seconds
-        _faults[name] = cls
-        return cls
+        return _faults(name)(cls)
 
     return register
 
@@ -50,7 +50,7 @@
 
 def known_faults():
     """Return the names of all faults."""
-    return sorted(_faults)
+    return _faults.names
 
 
 def draw_plan(seed, fleet, names=None):
--- a/rosemarypath/commands/__init__.py
+++ b/rosemarypath/commands/__init__.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from rosemarypath.errors import RosemarypathError
+from rosemarypath.registry import Registry
 from rosemarypath.store import StoreClient
 
 __all__ = [
@@ -22,21 +23,10 @@
     "known_commands",
 ]
 
-_commands = {}
+command = Registry()
 CALL_SECONDS = 5.0
 
 
-def command(name):
-    """Register a class as the command `name`."""
-
-    def register(cls):
-        cls.name = name
-        _commands[name] = cls
-        return cls
-
-    return register
-
-
 def _load_all():
     from rosemarypath.commands import (  # noqa: F401
         fleet,
@@ -50,7 +40,7 @@
 def get_command_by_name(name):
     """Return the command class called `name`; raises `KeyError`."""
     _load_all()
-    return _commands[name]
+    return command[name]
 
 
 def known_commands():
@@ -61,7 +51,7 @@
     True
     """
     _load_all()
-    return sorted(_commands)
+    return command.names
 
 
 class Command:
--- a/rosemarypath/policies/__init__.py
+++ b/rosemarypath/policies/__init__.py
@@ -7,20 +7,11 @@
 
 from dataclasses import dataclass
 
-__all__ = ["SeatPolicy", "Slot", "Waiter", "get_policy_by_name", "policy"]
-
-_policies = {}
-
+from rosemarypath.registry import Registry
 
-def policy(name):
-    """Register a class as the seat policy `name`."""
-
-    def register(cls):
-        cls.name = name
-        _policies[name] = cls
-        return cls
+__all__ = ["SeatPolicy", "Slot", "Waiter", "get_policy_by_name", "policy"]
 
-    return register
+policy = Registry()
 
 
 def get_policy_by_name(name):
@@ -32,7 +23,7 @@
     """
     from rosemarypath.policies import baseline, fair  # noqa: F401
 
-    return _policies[name]
+    return policy[name]
 
 
 @dataclass(frozen=True)
--- a/rosemarypath/rules.py
+++ b/rosemarypath/rules.py
@@ -12,6 +12,7 @@
 from rosemarypath.backend import ENGINE, SERVICE, BackEnd
 from rosemarypath.customer import Customer, Key
 from rosemarypath.errors import RulesError
+from rosemarypath.registry import Registry
 from rosemarypath.route import Adapter, Route
 from rosemarypath.weights import WeightStoreLimits
 from rosemarypath.zone import Zone
@@ -23,7 +24,7 @@
 ADDRESS = re.compile(r"^[A-Za-z0-9.-]+:\d{1,5}$")
 DIGEST = re.compile(r"^[0-9a-f]{64}$")
 
-_kinds = {}
+rule_kind = Registry()
 
 
 @dataclass(frozen=True)
@@ -43,20 +44,9 @@
     line: int = 0
 
 
-def rule_kind(name):
-    """Register a class as the rule kind `name`."""
-
-    def register(cls):
-        cls.kind = name
-        _kinds[name] = cls
-        return cls
-
-    return register
-
-
 def get_kind_by_name(name):
     """Return the rule kind called `name`; raises `KeyError` when there is none."""
-    return _kinds[name]
+    return rule_kind[name]
 
 
 def _positive(text):
@@ -116,7 +106,7 @@
     default, and `factory` builds the object.
     """
 
-    kind = ""
+    name = ""
     options = {}
     required = ()
     factory = None
@@ -242,12 +232,12 @@
     if len(words) < 2:
         fail("a rule needs a kind and a name", "write 'KIND NAME option=value ...'")
     kind_name, name, *options = words
-    if kind_name not in _kinds:
-        known = ", ".join(sorted(_kinds))
+    if kind_name not in rule_kind:
+        known = ", ".join(rule_kind.names)
         fail(f"unknown kind of rule '{kind_name}'", f"use one of: {known}")
     if not NAME.match(name):
         fail(f"'{name}' is not a name", "use letters, digits and . _ : -")
-    kind = _kinds[kind_name]
+    kind = rule_kind[kind_name]
     values = _parse_options(kind, options, fail)
     for option in kind.required:
         if option not in values:
@@ -270,7 +260,7 @@
             fail(f"'{word}' is not an option", "write option=value")
         if option not in kind.options:
             known = ", ".join(kind.options)
-            fail(f"{kind.kind} has no option '{option}'", f"use one of: {known}")
+            fail(f"{kind.name} has no option '{option}'", f"use one of: {known}")
         if option in values:
             fail(f"{option}= stands twice", "keep one of them")
         try:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -14,15 +14,13 @@
 import msgspec
 from blacksheep import Response, StreamedContent
 
-from rosemarypath.history import History
 from rosemarypath.httpserver import (
-    HttpServer,
     json_response,
     wait_for_disconnect,
 )
 from standins.batch import Batch, Sequence
 from standins.faults import Faults
-from standins.process import build_parser, run_until_stopped
+from standins.process import build_parser, run_stand_in
 
 __all__ = ["Engine", "main"]
 
@@ -386,16 +384,13 @@
     parser.add_argument("--fences", choices=("yes", "no"), default="yes")
     parser.add_argument("--weight-store", default="", metavar="HOST:PORT")
     options = parser.parse_args(args)
-    history = History(options.history, options.name or "engine")
 
-    async def serve():
-        server = HttpServer(options.listen)
+    def add_routes(server, history):
         engine = Engine(options, history)
         engine.add_routes(server)
-        await run_until_stopped(server, engine.run())
+        return engine.run()
 
-    asyncio.run(serve())
-    return 0
+    return run_stand_in(options, add_routes)
 
 
 if __name__ == "__main__":
--- a/standins/objectapi.py
+++ b/standins/objectapi.py
@@ -13,10 +13,9 @@
 import msgspec
 from blacksheep import Response, StreamedContent
 
-from rosemarypath.history import History
-from rosemarypath.httpserver import HttpServer, json_response
+from rosemarypath.httpserver import json_response
 from standins.faults import Faults
-from standins.process import build_parser, run_until_stopped
+from standins.process import build_parser, run_stand_in
 
 __all__ = ["ObjectApi", "main"]
 
@@ -64,7 +63,7 @@
     async def _show_calls(self, request):
         return json_response(200, self._calls)
 
-    async def _enter(self, call):
+    async def _enter(self, call, body=b""):
         """Count `call` and apply the faults; return a refusal or ``None``."""
         self._calls[call] += 1
         if self.faults["silent"]:
@@ -73,6 +72,8 @@
             await asyncio.sleep(self.faults["delay"])
         if self.faults["down"]:
             return json_response(503, {"reason": "ServiceUnavailable"})
+        if len(body) > MAX_VALUE_BYTES:
+            return json_response(413, {"reason": "RequestEntityTooLarge"})
         return None
 
     async def _leave(self, document):
@@ -107,11 +108,9 @@
 
     async def _create(self, request):
         body = await request.read()
-        refusal = await self._enter("write")
+        refusal = await self._enter("write", body)
         if refusal is not None:
             return refusal
-        if len(body) > MAX_VALUE_BYTES:
-            return json_response(413, {"reason": "RequestEntityTooLarge"})
         document = msgspec.json.decode(body)
         identity = (request.route_values["kind"], document["metadata"]["name"])
         if identity in self._objects:
@@ -120,11 +119,9 @@
 
     async def _put(self, request):
         body = await request.read()
-        refusal = await self._enter("write")
+        refusal = await self._enter("write", body)
         if refusal is not None:
             return refusal
-        if len(body) > MAX_VALUE_BYTES:
-            return json_response(413, {"reason": "RequestEntityTooLarge"})
         document = msgspec.json.decode(body)
         values = request.route_values
         identity = (values["kind"], values["name"])
@@ -200,15 +197,9 @@
 def main(args=None):
     """Run the stand-in as a process; return its exit code."""
     options = build_parser("object API stand-in").parse_args(args)
-    history = History(options.history, options.name or "object-api")
-
-    async def serve():
-        server = HttpServer(options.listen)
-        ObjectApi(history).add_routes(server)
-        await run_until_stopped(server)
-
-    asyncio.run(serve())
-    return 0
+    return run_stand_in(
+        options, lambda server, history: ObjectApi(history).add_routes(server)
+    )
 
 
 if __name__ == "__main__":
--- a/standins/process.py
+++ b/standins/process.py
@@ -9,7 +9,10 @@
 import asyncio
 import signal
 
-__all__ = ["build_parser", "run_until_stopped"]
+from rosemarypath.history import History
+from rosemarypath.httpserver import HttpServer
+
+__all__ = ["build_parser", "run_stand_in", "run_until_stopped"]
 
 
 def build_parser(description):
@@ -21,6 +24,24 @@
     return parser
 
 
+def run_stand_in(options, add_routes):
+    """
+    Serve until stopped; return the exit code.
+
+    ``add_routes(server, history)`` adds the routes, and may return a coroutine to run
+    meanwhile.
+    """
+    history = History(options.history, options.name)
+
+    async def serve():
+        server = HttpServer(options.listen)
+        background = add_routes(server, history)
+        await run_until_stopped(server, *([background] if background else []))
+
+    asyncio.run(serve())
+    return 0
+
+
 async def run_until_stopped(server, *background):
     """Serve until SIGTERM or SIGINT; `background` are coroutines run meanwhile."""
     stopped = asyncio.Event()
--- a/standins/service.py
+++ b/standins/service.py
@@ -7,10 +7,9 @@
 
 import asyncio
 
-from rosemarypath.history import History
-from rosemarypath.httpserver import HttpServer, json_response
+from rosemarypath.httpserver import json_response
 from standins.faults import Faults
-from standins.process import build_parser, run_until_stopped
+from standins.process import build_parser, run_stand_in
 
 __all__ = ["PlainService", "main"]
 
@@ -71,15 +70,9 @@
 def main(args=None):
     """Run the stand-in as a process; return its exit code."""
     options = build_parser("plain service stand-in").parse_args(args)
-    history = History(options.history, options.name or "service")
-
-    async def serve():
-        server = HttpServer(options.listen)
-        PlainService(history).add_routes(server)
-        await run_until_stopped(server)
-
-    asyncio.run(serve())
-    return 0
+    return run_stand_in(
+        options, lambda server, history: PlainService(history).add_routes(server)
+    )
 
 
 if __name__ == "__main__":
--- a/standins/weightstore.py
+++ b/standins/weightstore.py
@@ -8,10 +8,9 @@
 import asyncio
 import time
 
-from rosemarypath.history import History
-from rosemarypath.httpserver import HttpServer, json_response
+from rosemarypath.httpserver import json_response
 from standins.faults import Faults
-from standins.process import build_parser, run_until_stopped
+from standins.process import build_parser, run_stand_in
 
 __all__ = ["WeightStore", "main"]
 
@@ -67,15 +66,11 @@
     parser = build_parser("weight store stand-in")
     parser.add_argument("--rate", type=float, default=4.0)
     options = parser.parse_args(args)
-    history = History(options.history, options.name or "weight-store")
 
-    async def serve():
-        server = HttpServer(options.listen)
+    def add_routes(server, history):
         WeightStore(options.rate, history).add_routes(server)
-        await run_until_stopped(server)
 
-    asyncio.run(serve())
-    return 0
+    return run_stand_in(options, add_routes)
 
 
 if __name__ == "__main__":
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -107,7 +107,7 @@
 
 
 def test_kinds_are_looked_up_by_name():
-    assert get_kind_by_name("zone").kind == "zone"
+    assert get_kind_by_name("zone").name == "zone"
 
 
 @pytest.mark.parametrize("lines", [kesariya(), mfereji()])
