--- a/rosemarypath/messages.py
+++ b/rosemarypath/messages.py
@@ -165,16 +165,15 @@
     The owner's answer.
 
     `granted` with the `fence` to send along, or a refusal with `reason`. `seat_wait`
-    and `load_wait` are what a request of a loaded and of another adapter may expect
-    to wait there, `waited_for_load` what this one did, in seconds; `has_adapter`
-    tells whether its adapter is loaded.
+    is what a request of a loaded adapter may expect to wait there, `waited_for_load`
+    what this one waited for a load, in seconds; `has_adapter` tells whether its
+    adapter is loaded.
     """
 
     granted: bool
     reason: str
     fence: int
     seat_wait: float = 0.0
-    load_wait: float = 0.0
     has_adapter: bool = False
     waited_for_load: float = 0.0
 
--- a/rosemarypath/placement.py
+++ b/rosemarypath/placement.py
@@ -14,18 +14,16 @@
 
 HINT_SECONDS = 2.0
 RESIDENT_SECONDS = 30.0
-FIRST_LOAD_WAIT = 0.3
-EVICTION_COST = 0.5
-POSITION_COST = 0.3
+LOAD_COST = 0.8
+POSITION_COST = 1.0
 DISTANCE_COST = 0.01
 
 
 @dataclass(frozen=True)
 class Hint:
-    """The waits at a back end, as its owner last told at time `at`."""
+    """The wait for a seat at a back end, as its owner last told at time `at`."""
 
     seat_wait: float
-    load_wait: float
     at: float
 
 
@@ -34,8 +32,10 @@
     Orders back ends for a request, the shortest wait first.
 
     Each adapter has a home by rendezvous hashing, and further ones in other zones. A
-    request leaves the home only when its wait there is longer than a load elsewhere
-    together with what evicting another adapter costs. `zone` is this daemon's zone.
+    request leaves the home only when the wait for a seat there is longer than what a
+    load elsewhere costs. The wait for a load does not count: the weight store serves
+    all back ends, and a second copy takes a slot from another adapter. `zone` is this
+    daemon's zone.
     """
 
     def __init__(self, zone):
@@ -60,7 +60,7 @@
 
     def note_reply(self, back_end, adapter, reply, now):
         """Remember what an owner's `SeatReply` says."""
-        self._hints[back_end] = Hint(reply.seat_wait, reply.load_wait, now)
+        self._hints[back_end] = Hint(reply.seat_wait, now)
         if reply.has_adapter:
             self._resident[(back_end, adapter)] = now
         else:
@@ -78,13 +78,13 @@
         """Return about how many seconds a request would wait at `back_end`."""
         hint = self._hints.get(back_end.name)
         if hint is None or now - hint.at > HINT_SECONDS:
-            hint = Hint(0.0, FIRST_LOAD_WAIT, now)
+            hint = Hint(0.0, now)
         cost = hint.seat_wait
         if back_end.zone != self._zone:
             cost += DISTANCE_COST
         at = self._resident.get((back_end.name, adapter))
         if adapter and (at is None or now - at > RESIDENT_SECONDS):
-            cost += hint.load_wait + EVICTION_COST + POSITION_COST * position
+            cost += LOAD_COST + POSITION_COST * position
         return cost
 
 
--- a/rosemarypath/seat.py
+++ b/rosemarypath/seat.py
@@ -15,6 +15,7 @@
 from rosemarypath.policies import Waiter, get_policy_by_name
 from rosemarypath.ramp import Ramp
 from rosemarypath.slots import AdapterSlots
+from rosemarypath.waits import Waits
 
 __all__ = ["BUSY", "NOT_OWNER", "OUT_OF_SERVICE", "REBUILDING", "SeatBroker"]
 
@@ -103,6 +104,7 @@
             self._on_slots_change,
         )
         self._ramp = Ramp(back_end.cold_capacity, back_end.capacity)
+        self._waits = Waits()
         self._seats = {}
         self._waiting = {}
         self._completed = 0
@@ -234,7 +236,7 @@
         self._seats[waiter.request] = _Seat(waiter, asked.holder, now)
         self._slots.enter(waiter.adapter, now)
         if not asked.load_wait:
-            self._slots.waits.note_seat(now - waiter.since)
+            self._waits.note_seat(now - waiter.since)
         asked.future.set_result(self._grant_reply(waiter.adapter, asked.load_wait))
 
     def _on_slots_change(self, adapter, seconds):
@@ -346,13 +348,11 @@
         is_ready = self._slots.is_ready
         waiting = [asked.waiter.adapter for asked in self._waiting.values()]
         has_queue = self.free <= 0 or any(is_ready(name) for name in waiting)
-        loading = {name for name in waiting if not is_ready(name)} | self._slots.loading
         return SeatReply(
             granted,
             reason,
             fence,
-            self._slots.waits.seat_wait(has_queue),
-            self._slots.waits.load_wait(len(loading)),
+            self._waits.seat_wait(has_queue),
             is_ready(adapter),
             load_wait,
         )
--- a/rosemarypath/slots.py
+++ b/rosemarypath/slots.py
@@ -11,7 +11,6 @@
 from rosemarypath.orders import ORDER_TIMEOUT
 from rosemarypath.policies import Slot
 from rosemarypath.popularity import Popularity
-from rosemarypath.waits import Waits
 
 __all__ = ["AdapterSlots"]
 
@@ -57,7 +56,6 @@
         self._wanted = asyncio.Event()
         self._tasks = []
         self.back_end = back_end
-        self.waits = Waits(LOADERS)
 
     @property
     def loaded(self):
@@ -159,7 +157,6 @@
         slot.is_loaded = True
         slot.used_at = time.monotonic()
         seconds = slot.used_at - started
-        self.waits.note_load(seconds)
         self._on_change(adapter, seconds)
         return True
 
