--- a/rosemarypath/membership.py
+++ b/rosemarypath/membership.py
@@ -30,6 +30,7 @@
 SILENT_HEARTBEATS = 0.9
 REJOIN_LEASES = 4
 REMOVE_SECONDS_PER_RANK = 1.0
+KEPT_ROSTERS = 32
 
 _log = get_logger("membership")
 
@@ -78,6 +79,7 @@
         self._draining = False
         self._writing = False
         self._keeping = None
+        self._rosters = {}
         self.roster = Roster()
         self.relays = ()
         self._begin(mesh.identity)
@@ -142,6 +144,9 @@
             return
         self.roster = roster
         self.relays = tuple(roster.relays())
+        self._rosters[roster.revision] = roster
+        while len(self._rosters) > KEPT_ROSTERS:
+            del self._rosters[min(self._rosters)]
         for identity, machine in roster.members.items():
             self._mesh.learn(identity, machine.peers_address)
         self._mesh.forget_all_but(roster.members)
@@ -154,6 +159,15 @@
         if released:
             self._on_release(released)
 
+    def delta_since(self, revision):
+        """Return the `RosterDelta` from `revision`, or from nothing."""
+        return self.roster.delta_since(self._rosters.get(revision, Roster()))
+
+    def adopt_delta(self, delta):
+        """Put a peer's `delta` in force, if it fits the roster held."""
+        if delta.base in {0, self.roster.revision}:
+            self.adopt(self.roster.with_delta(delta))
+
     def learn_barrier(self, revision):
         """Record that every member adopted roster `revision` or is fenced."""
         self.ownership.raise_barrier(revision)
--- a/rosemarypath/messages.py
+++ b/rosemarypath/messages.py
@@ -27,7 +27,8 @@
     "PermitAsk",
     "PermitReply",
     "PermitReturn",
-    "RosterCopy",
+    "RosterAsk",
+    "RosterDelta",
     "SeatAsk",
     "SeatRelease",
     "SeatReply",
@@ -102,12 +103,25 @@
     leaving: tuple[str, ...]
 
 
-class RosterCopy(Message):
-    """A roster as held by the sender; asked for by an empty copy."""
+class RosterAsk(Message):
+    """Asks for what changed since the asker's roster `revision`."""
 
-    revision: int = 0
-    machines: dict[str, Machine] = {}
-    departed: dict[str, Machine] = {}
+    revision: int
+
+
+class RosterDelta(Message):
+    """
+    What leads from roster `base` (0: from nothing) to `revision`.
+
+    `changed` are the entries that are new or differ, `removed` the names that went;
+    `departed` is the whole new mapping.
+    """
+
+    base: int
+    revision: int
+    changed: dict[str, Machine]
+    removed: tuple[str, ...]
+    departed: dict[str, Machine]
 
 
 class ConfigurationAsk(Message):
@@ -261,7 +275,8 @@
     | Testimony
     | NewsAsk
     | News
-    | RosterCopy
+    | RosterAsk
+    | RosterDelta
     | ConfigurationAsk
     | ConfigurationDelta
     | AdoptionAsk
--- a/rosemarypath/relay.py
+++ b/rosemarypath/relay.py
@@ -19,7 +19,7 @@
     ConfigurationAsk,
     News,
     NewsAsk,
-    RosterCopy,
+    RosterAsk,
 )
 from rosemarypath.roster import Roster
 from rosemarypath.spread import (
@@ -76,7 +76,7 @@
         membership.report_revisions_to(self._note_adopted)
         mesh.on(Adopted, self._on_adopted)
         mesh.on(NewsAsk, self._on_news_ask)
-        mesh.on(RosterCopy, self._on_roster_ask)
+        mesh.on(RosterAsk, self._on_roster_ask)
         mesh.on(ConfigurationAsk, self._on_configuration_ask)
         mesh.on(AdoptionAsk, self._on_adoption_ask)
 
@@ -216,15 +216,10 @@
     async def _take_news(self, relay, news):
         membership = self._membership
         if news.roster_revision > membership.roster.revision:
-            copy = await self._mesh.ask(relay, RosterCopy(), ASK_TIMEOUT)
-            if copy is not None:
-                membership.adopt(
-                    Roster(
-                        revision=copy.revision,
-                        machines=copy.machines,
-                        departed=copy.departed,
-                    )
-                )
+            ask = RosterAsk(membership.roster.revision)
+            delta = await self._mesh.ask(relay, ask, ASK_TIMEOUT)
+            if delta is not None:
+                membership.adopt_delta(delta)
         if news.roster_revision >= membership.roster.revision:
             for identity in news.fenced:
                 membership.learn_fenced(identity)
@@ -308,8 +303,7 @@
         )
 
     def _on_roster_ask(self, sender, message):
-        roster = self._membership.roster
-        return RosterCopy(roster.revision, roster.machines, roster.departed)
+        return self._membership.delta_since(message.revision)
 
     def _on_configuration_ask(self, sender, message):
         return self._keeper.delta_since(message.revision)
--- a/rosemarypath/roster.py
+++ b/rosemarypath/roster.py
@@ -9,6 +9,7 @@
 
 from rosemarypath.hashing import rendezvous_order, spread_order
 from rosemarypath.machine import UP, Machine
+from rosemarypath.messages import RosterDelta
 
 __all__ = ["RELAYS_PER_ZONE", "Roster", "choose_witnesses"]
 
@@ -105,6 +106,30 @@
         }
         return msgspec.structs.replace(self, machines=machines, departed=departed)
 
+    def delta_since(self, base):
+        """Return the `RosterDelta` from the roster `base` to this one."""
+        return RosterDelta(
+            base.revision,
+            self.revision,
+            {
+                name: machine
+                for name, machine in self.machines.items()
+                if base.machines.get(name) != machine
+            },
+            tuple(sorted(base.machines.keys() - self.machines.keys())),
+            self.departed,
+        )
+
+    def with_delta(self, delta):
+        """Return the roster that `delta`, based on this one or on none, leads to."""
+        machines = dict(self.machines) if delta.base else {}
+        for name in delta.removed:
+            machines.pop(name, None)
+        machines.update(delta.changed)
+        return Roster(
+            revision=delta.revision, machines=machines, departed=delta.departed
+        )
+
     def to_spec(self):
         """Return the content to store, without the revision."""
         return {
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -45,6 +45,16 @@
     assert "n0/1" not in changed.without({"n0/1"}).members
 
 
+def test_delta_leads_to_the_newer_roster(five):
+    changed = five.with_machine(machine("n0", incarnation="2")).without({"n3/1"})
+    newer = msgspec.structs.replace(changed, revision=7)
+    delta = newer.delta_since(five)
+    assert set(delta.changed) == {"n0"}
+    assert delta.removed == ("n3",)
+    assert five.with_delta(delta) == newer
+    assert five.with_delta(newer.delta_since(Roster())) == newer
+
+
 def test_draining_machines_own_nothing(five):
     draining = msgspec.structs.replace(five.machines["n0"], state=DRAINING)
     assert "n0/1" not in five.with_machine(draining).candidates
