Keep fleets of several processes off each other's ports

Cause: two of about ten fleets started beside others failed with 'address in use': each drew its ports at random from one range, some 200 for a wired fleet.

Change: a process takes a block of 500 ports by binding the first.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -28,29 +28,56 @@
 STOP_SECONDS = 30.0
 HOST = "127.0.0.1"
 PORT_RANGE = (10000, 32000)
+BLOCK_PORTS = 500
 OPERATOR = "the fleet's plan"
 
 
-def free_ports(count, avoid=()):
+class PortBlock:
     """
-    Return `count` loopback ports that are free now, none of them in `avoid`.
+    A block of loopback ports that this process alone hands out.
 
-    They lie below the range from which the system draws ports of outgoing connections.
+    Its first port stays bound as a lock, so that fleets of other processes take other
+    blocks. All blocks lie below the ports that the system draws for connections.
     """
-    ports = []
-    candidate = random.randrange(*PORT_RANGE)
-    while len(ports) < count:
-        candidate += 1
-        if candidate >= PORT_RANGE[1]:
-            candidate = PORT_RANGE[0]
-        if candidate in avoid:
-            continue
-        with socket.socket() as probe:
+
+    def __init__(self):
+        starts = list(range(*PORT_RANGE, BLOCK_PORTS))
+        random.shuffle(starts)
+        for start in starts:
+            self._lock = socket.socket()
             try:
-                probe.bind((HOST, candidate))
+                self._lock.bind((HOST, start))
             except OSError:
+                self._lock.close()
                 continue
-        ports.append(candidate)
+            self._ports = iter(range(start + 1, start + BLOCK_PORTS))
+            return
+        raise OSError("no block of ports is free; end other fleets")
+
+    def take(self):
+        """Return the next port that can be bound, or ``None`` at the block's end."""
+        for port in self._ports:
+            with socket.socket() as probe:
+                try:
+                    probe.bind((HOST, port))
+                except OSError:
+                    continue
+                return port
+        return None
+
+
+_blocks = []
+
+
+def free_ports(count):
+    """Return `count` loopback ports that were not handed out before."""
+    ports = []
+    while len(ports) < count:
+        port = _blocks[-1].take() if _blocks else None
+        if port is None:
+            _blocks.append(PortBlock())
+        else:
+            ports.append(port)
     return ports
 
 
@@ -386,9 +413,8 @@
             for target in targets
             if not target.startswith(f"{name}/")
         ]
-        taken = {int(a.rsplit(":", 1)[1]) for a in self.addresses.values()}
         wires = []
-        for (source, target), port in zip(pairs, free_ports(len(pairs), taken)):
+        for (source, target), port in zip(pairs, free_ports(len(pairs))):
             listen = f"{HOST}:{port}"
             self._dial.setdefault(source, {})[self.addresses[target]] = listen
             wires.append(
