Leave an adapter's home for want of seats only; count every stall alike

Ruled out: the rate of misses by itself.

A stall now is a wait of over 50 ms although seats were free, for every policy alike.

Also: ports in a module of their own.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -7,9 +7,7 @@
 
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -20,67 +18,17 @@
 
 import yaml
 
+from bench.ports import HOST, free_ports
+from rosemarypath.customer import hash_key, new_key
 from rosemarypath.rules import format_rule
 
-__all__ = ["Fleet", "FleetPlan", "free_ports"]
+__all__ = ["Fleet", "FleetPlan"]
 
 READY_SECONDS = 30.0
 STOP_SECONDS = 30.0
-HOST = "127.0.0.1"
-PORT_RANGE = (10000, 32000)
-BLOCK_PORTS = 500
 OPERATOR = "the fleet's plan"
 
 
-class PortBlock:
-    """
-    A block of loopback ports that this process alone hands out.
-
-    Its first port stays bound as a lock, so that fleets of other processes take other
-    blocks. All blocks lie below the ports that the system draws for connections.
-    """
-
-    def __init__(self):
-        starts = list(range(*PORT_RANGE, BLOCK_PORTS))
-        random.shuffle(starts)
-        for start in starts:
-            self._lock = socket.socket()
-            try:
-                self._lock.bind((HOST, start))
-            except OSError:
-                self._lock.close()
-                continue
-            self._ports = iter(range(start + 1, start + BLOCK_PORTS))
-            return
-        raise OSError("no block of ports is free; end other fleets")
-
-    def take(self):
-        """Return the next port that can be bound, or ``None`` at the block's end."""
-        for port in self._ports:
-            with socket.socket() as probe:
-                try:
-                    probe.bind((HOST, port))
-                except OSError:
-                    continue
-                return port
-        return None
-
-
-_blocks = []
-
-
-def free_ports(count):
-    """Return `count` loopback ports that were not handed out before."""
-    ports = []
-    while len(ports) < count:
-        port = _blocks[-1].take() if _blocks else None
-        if port is None:
-            _blocks.append(PortBlock())
-        else:
-            ports.append(port)
-    return ports
-
-
 @dataclass(frozen=True)
 class FleetPlan:
     """
@@ -352,8 +300,6 @@
         return format_rule("backend", name, options, OPERATOR)
 
     def _customer_rules(self):
-        from rosemarypath.customer import hash_key, new_key
-
         lines = []
         for customer, options in self.plan.customers.items():
             lines.append(format_rule("customer", customer, options, OPERATOR))
--- a/bench/links.py
+++ b/bench/links.py
@@ -9,7 +9,7 @@
 import sys
 import time
 
-from bench.fleet import free_ports
+from bench.ports import free_ports
 from rosemarypath.link import Mesh
 from rosemarypath.messages import SeatAsk, SeatReply
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import asyncio
 import json
 import subprocess
 import sys
@@ -19,6 +20,8 @@
 
 from bench.fleet import Fleet, FleetPlan
 from bench.usage import Usage, read_usage
+from rosemarypath.applying import change_rule, set_option
+from rosemarypath.store import StoreClient
 
 __all__ = ["main", "measure"]
 
@@ -94,10 +97,6 @@
 
 def change_version(fleet, number):
     """Give an adapter a new version."""
-    import asyncio
-
-    from rosemarypath.applying import change_rule, set_option
-    from rosemarypath.store import StoreClient
 
     async def change():
         store = StoreClient(fleet.addresses["object-api"])
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -7,7 +7,7 @@
 
 import argparse
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import msgspec
@@ -103,8 +103,6 @@
 
 def without_running(report):
     """Return `report` without the adapters that run."""
-    from dataclasses import replace
-
     return report and replace(report, running_adapters=frozenset())
 
 
--- a/rosemarypath/daemon.py
+++ b/rosemarypath/daemon.py
@@ -15,6 +15,7 @@
 from rosemarypath import __version__
 from rosemarypath.budgetclient import BudgetClient
 from rosemarypath.entry import EntryApi
+from rosemarypath.errors import SettingsError
 from rosemarypath.history import History
 from rosemarypath.httpserver import HttpServer
 from rosemarypath.levels import FIRST_TOKEN_SECONDS, GAP_SECONDS, ServiceLevels
@@ -293,8 +294,6 @@
 
 
 def _check_policy(settings):
-    from rosemarypath.errors import SettingsError
-
     try:
         get_policy_by_name(settings.policy)
     except KeyError:
--- a/rosemarypath/messages.py
+++ b/rosemarypath/messages.py
@@ -180,8 +180,8 @@
 
     `granted` with the `fence` to send along, or a refusal with `reason`. `seat_wait`
     is what a request of a loaded adapter may expect to wait there, `waited_for_load`
-    what this one waited for a load, in seconds; `has_adapter` tells whether its
-    adapter is loaded.
+    what this one waited although seats were free, in seconds; `has_adapter` tells
+    whether its adapter is loaded.
     """
 
     granted: bool
--- a/rosemarypath/seat.py
+++ b/rosemarypath/seat.py
@@ -26,18 +26,23 @@
 REPORT_SECONDS = 1.0
 AUDIT_REPORTS = 10
 MISSED_REPORTS = 2
+STALL_SECONDS = 0.05
 
 _log = get_logger("seats")
 
 
 class _Asked:
-    """A waiting ask of `holder`, with the future that its handler awaits."""
+    """
+    A waiting ask of `holder`, with the future that its handler awaits.
+
+    `saw_all_taken` tells whether all seats were taken at some time while it waited.
+    """
 
     def __init__(self, waiter, holder, future):
         self.waiter = waiter
         self.holder = holder
         self.future = future
-        self.load_wait = 0.0
+        self.saw_all_taken = False
 
 
 class _Seat:
@@ -101,7 +106,7 @@
             fence,
             permits,
             lambda: [asked.waiter for asked in self._waiting.values()],
-            self._on_slots_change,
+            lambda: self._pump(time.monotonic()),
         )
         self._ramp = Ramp(back_end.cold_capacity, back_end.capacity)
         self._waits = Waits()
@@ -226,6 +231,9 @@
             if waiter is None:
                 break
             self._seat(waiter, now)
+        if self.free <= 0:
+            for asked in self._waiting.values():
+                asked.saw_all_taken = True
         self._slots.wake()
 
     def _seat(self, waiter, now):
@@ -235,17 +243,13 @@
         self._policy.charge(waiter, now)
         self._seats[waiter.request] = _Seat(waiter, asked.holder, now)
         self._slots.enter(waiter.adapter, now)
-        if not asked.load_wait:
-            self._waits.note_seat(now - waiter.since)
-        asked.future.set_result(self._grant_reply(waiter.adapter, asked.load_wait))
-
-    def _on_slots_change(self, adapter, seconds):
-        """Seat those that waited for `adapter`, which took `seconds` to load."""
-        now = time.monotonic()
-        for asked in self._waiting.values():
-            if adapter is not None and asked.waiter.adapter == adapter:
-                asked.load_wait = min(seconds, now - asked.waiter.since)
-        self._pump(now)
+        waited = now - waiter.since
+        load_wait = 0.0
+        if asked.saw_all_taken or waited <= STALL_SECONDS:
+            self._waits.note_seat(waited)
+        else:
+            load_wait = waited
+        asked.future.set_result(self._grant_reply(waiter.adapter, load_wait))
 
     async def _run(self, collect_held):
         """Rebuild the state after taking over, then follow the reports."""
--- a/rosemarypath/slots.py
+++ b/rosemarypath/slots.py
@@ -39,8 +39,7 @@
     `waiting`
         Function that returns the `Waiter` objects of the back end.
     `on_change`
-        Called with an adapter's name and the seconds its load took, or with two
-        ``None`` after any other change.
+        Called after a load and after any other change of what is loaded.
     """
 
     def __init__(self, back_end, orders, policy, fence, permits, waiting, on_change):
@@ -120,7 +119,7 @@
             slot.is_loaded = loaded is not None and adapter in loaded
             if not slot.is_loaded and slot.in_use == 0:
                 del self._slots[adapter]
-        self._on_change(None, None)
+        self._on_change()
 
     async def _load_forever(self, number):
         permit = f"{self.back_end.name}/{number}"
@@ -129,16 +128,15 @@
                 self._wanted.clear()
                 await self._wanted.wait()
                 continue
-            started = time.monotonic()
             give_back = await self._permits(permit)
             try:
-                is_done = await self._load_next(started)
+                is_done = await self._load_next()
             finally:
                 give_back()
             if not is_done:
                 await asyncio.sleep(FAILED_LOAD_PAUSE)
 
-    async def _load_next(self, started):
+    async def _load_next(self):
         """Load what is wanted most now; return whether no pause is needed."""
         waiter = self._next_load(time.monotonic())
         if waiter is None:
@@ -156,8 +154,7 @@
         slot = self._slots.setdefault(adapter, Slot(adapter))
         slot.is_loaded = True
         slot.used_at = time.monotonic()
-        seconds = slot.used_at - started
-        self._on_change(adapter, seconds)
+        self._on_change()
         return True
 
     def _next_load(self, now):
@@ -189,7 +186,7 @@
             return False
         victim.is_loaded = False
         if not await self._evict(victim):
-            self._on_change(None, None)
+            self._on_change()
             return False
         return True
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from bench.fleet import free_ports
+from bench.ports import free_ports
 from rosemarypath.errors import (
     ConflictError,
     NotFoundError,
