Void late releases of seats; end requests whose answer nobody takes

Cause, found by reading: an ask that was not answered in time is withdrawn, and the withdrawal is repeated until it arrives. If the same request had meanwhile got a seat on the same back end by a later ask, the late withdrawal freed it while it was in use: the back end could be overfilled and its adapter taken for idle. And a request that ended as unknown gave its seat back while the engine still ran it.

Change: asks carry a growing number, and a release is void for a seat of a later ask; after an unknown outcome or a broken stream the engine is told to cancel the request.

--- a/bench/links.py
+++ b/bench/links.py
@@ -27,7 +27,7 @@
     second.on(SeatAsk, lambda sender, message: SeatReply(True, "", 1))
     await first.start()
     await second.start()
-    message = SeatAsk("engine-1", "0" * 24, "customer", "adapter@1", 100, 1.0)
+    message = SeatAsk("engine-1", "0" * 24, "customer", "adapter@1", 100, 1.0, 0.0, 1)
     await first.ask(second.identity, message, 2.0)
     started = time.process_time()
 
--- a/rosemarypath/exchange.py
+++ b/rosemarypath/exchange.py
@@ -123,7 +123,7 @@
             raise
         finally:
             usage = usage_in(tail)
-            if outcome == "cancelled":
+            if outcome != "ran":
                 self._abandon()
             self._settle(self._order.tokens if usage is None else usage.total)
             self._leave(outcome, events if usage is None else usage.generated)
@@ -268,7 +268,9 @@
         return await self._daemon.upstream.send_whole(self._call)
 
     def _note(self, outcome):
-        """Tell the owner how the attempt went."""
+        """Tell the owner how the attempt went, and end what may still run."""
+        if isinstance(outcome, Unknown):
+            self._abandon()
         if isinstance(outcome, Answer):
             if outcome.response is None:
                 usage = usage_of(outcome.body)
@@ -313,7 +315,7 @@
             self._reservation = None
 
     def _abandon(self):
-        """Cancel the back end's request after the caller has gone."""
+        """Cancel the back end's request, whose answer nobody takes any more."""
         if self._call is not None:
             self._daemon.spawn(self._daemon.upstream.cancel(self._call))
 
--- a/rosemarypath/messages.py
+++ b/rosemarypath/messages.py
@@ -162,7 +162,8 @@
 
     `adapter` is the engine name of an adapter version, empty for plain services;
     `tokens` is what the request may use; `patience` is how long it waits for this
-    answer and `waited` how long it has waited already, in seconds.
+    answer and `waited` how long it has waited already, in seconds. `attempt` grows
+    with each ask of the sender.
     """
 
     back_end: str
@@ -171,7 +172,8 @@
     adapter: str
     tokens: int
     patience: float
-    waited: float = 0.0
+    waited: float
+    attempt: int
 
 
 class SeatReply(Message):
@@ -193,22 +195,28 @@
 
 
 class SeatRelease(Message):
-    """Ends a seat; `outcome` is ran, not_run or broken."""
+    """
+    Ends a seat; `outcome` is ran, not_run, broken, silent or adapter_missing.
+
+    It is void for a seat that a later `attempt` took for the same request.
+    """
 
     back_end: str
     request: str
+    attempt: int
     outcome: str
     tokens: int
     seconds: float
 
 
 class HeldSeat(msgspec.Struct, frozen=True, array_like=True):
-    """One seat that an entry daemon holds."""
+    """One seat that an entry daemon holds, from its ask `attempt`."""
 
     request: str
     customer: str
     adapter: str
     tokens: int
+    attempt: int
 
 
 class SeatsHeldAsk(Message):
--- a/rosemarypath/owners.py
+++ b/rosemarypath/owners.py
@@ -216,9 +216,9 @@
                     answered[identity] = reply.seats
         now = time.monotonic()
         return [
-            (Waiter(s.request, s.customer, s.adapter, s.tokens, 1.0, now), identity)
+            (_waiter_of(seat, now), identity)
             for identity, seats in answered.items()
-            for s in seats
+            for seat in seats
         ]
 
     async def _on_seat_ask(self, sender, message):
@@ -284,3 +284,10 @@
                 return lambda: self._mesh.send(owner, PermitReturn(permit))
             wait = reply.wait if reply is not None else 0.0
             await asyncio.sleep(max(wait, PERMIT_RETRY_SECONDS))
+
+
+def _waiter_of(seat, now):
+    """Return the `Waiter` of a `HeldSeat`."""
+    return Waiter(
+        seat.request, seat.customer, seat.adapter, seat.tokens, 1.0, now, seat.attempt
+    )
--- a/rosemarypath/policies/__init__.py
+++ b/rosemarypath/policies/__init__.py
@@ -31,7 +31,8 @@
     """
     A request that waits for a seat.
 
-    `cost` is in tokens, `weight` the customer's share, `since` the time it came.
+    `cost` is in tokens, `weight` the customer's share, `since` the time it came,
+    `attempt` the number of the entry daemon's ask.
     """
 
     request: str
@@ -40,6 +41,7 @@
     cost: int
     weight: float
     since: float
+    attempt: int = 0
 
 
 @dataclass
--- a/rosemarypath/seat.py
+++ b/rosemarypath/seat.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 from rosemarypath.backend import ENGINE
 from rosemarypath.log import get_logger
@@ -116,7 +117,7 @@
         self._missed = 0
         self._is_ready = False
         self._is_open = True
-        self._tasks = []
+        self._tasks = set()
         self.back_end = back_end
 
     @property
@@ -151,12 +152,12 @@
         `collect_held` is an asynchronous function that returns ``(Waiter, holder)``
         for every seat held anywhere, once all members answered or are fenced.
         """
-        self._tasks = [asyncio.create_task(self._run(collect_held))]
+        self._spawn(self._run(collect_held))
 
     def stop(self):
         """End the tasks and refuse what waits."""
         self._slots.stop()
-        for task in self._tasks:
+        for task in list(self._tasks):
             task.cancel()
         self._refuse_all(NOT_OWNER)
 
@@ -179,6 +180,8 @@
         if not self._is_ready:
             return self._refusal(REBUILDING, message.adapter)
         if message.request in self._seats:
+            seat = self._seats[message.request]
+            seat.waiter = replace(seat.waiter, attempt=message.attempt)
             return self._grant_reply(message.adapter, 0.0)
         now = time.monotonic()
         waiter = Waiter(
@@ -188,6 +191,7 @@
             message.tokens,
             weight,
             now - message.waited,
+            message.attempt,
         )
         future = asyncio.get_running_loop().create_future()
         asked = _Asked(waiter, holder, future)
@@ -207,11 +211,14 @@
     def release(self, message):
         """End the seat or the wait that a `SeatRelease` names."""
         now = time.monotonic()
-        asked = self._waiting.pop(message.request, None)
-        if asked is not None and not asked.future.done():
-            asked.future.set_result(self._refusal(BUSY, asked.waiter.adapter))
-        seat = self._seats.pop(message.request, None)
-        if seat is not None:
+        asked = self._waiting.get(message.request)
+        if asked is not None and asked.waiter.attempt <= message.attempt:
+            del self._waiting[message.request]
+            if not asked.future.done():
+                asked.future.set_result(self._refusal(BUSY, asked.waiter.adapter))
+        seat = self._seats.get(message.request)
+        if seat is not None and seat.waiter.attempt <= message.attempt:
+            del self._seats[message.request]
             self._slots.leave(seat.waiter.adapter, now)
             if message.outcome == "ran":
                 self._ramp.complete(message.seconds, message.tokens)
@@ -331,7 +338,12 @@
         self._completed = 0
         self._ramp.fail()
         if self.back_end.kind == ENGINE:
-            self._tasks.append(asyncio.create_task(self._slots.learn()))
+            self._spawn(self._slots.learn())
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def _refuse_all(self, reason):
         for asked in list(self._waiting.values()):
--- a/rosemarypath/seatclient.py
+++ b/rosemarypath/seatclient.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import time
 from dataclasses import dataclass
 
@@ -38,6 +39,7 @@
     back_end: object
     request: str
     fence: int
+    attempt: int
     waited_for_load: float
 
 
@@ -54,6 +56,7 @@
         self._placement = placement
         self._held = {}
         self._fences = {}
+        self._attempts = itertools.count(1)
         self._tasks = set()
         mesh.on(SeatsHeldAsk, self._on_held_ask)
 
@@ -90,6 +93,7 @@
                 tokens,
                 min(until - now, ASK_SLICE),
                 now - started,
+                next(self._attempts),
             )
             seat = await self._ask(back_end, ask)
             if isinstance(seat, Seat):
@@ -98,23 +102,26 @@
                 refused[back_end.name] = time.monotonic() + AVOID_SECONDS
 
     def release(self, seat, outcome, tokens=0, seconds=0.0):
-        """Give `seat` back; `outcome` is ran, not_run, broken or adapter_missing."""
+        """Give `seat` back; `outcome` is as in `SeatRelease`."""
         self._held.pop(seat.request, None)
-        self._release(seat.back_end.name, seat.request, outcome, tokens, seconds)
+        message = SeatRelease(
+            seat.back_end.name, seat.request, seat.attempt, outcome, tokens, seconds
+        )
+        self._release(message)
 
     async def _ask(self, back_end, ask):
         """Ask the owner of `back_end`; return a `Seat` or the reason for none."""
         owner = self._membership.ownership.owner_of(back_end_resource(back_end.name))
         if owner is None:
             return OUT_OF_SERVICE
-        held = HeldSeat(ask.request, ask.customer, ask.adapter, ask.tokens)
+        held = HeldSeat(ask.request, ask.customer, ask.adapter, ask.tokens, ask.attempt)
         answered = False
         try:
             reply = await self._mesh.ask(owner, ask, ask.patience + ASK_MARGIN)
             answered = reply is not None
         finally:
             if not answered:
-                self._release(back_end.name, ask.request, "not_run", 0, 0.0)
+                self._withdraw(ask)
         if reply is None:
             return NO_ANSWER
         now = time.monotonic()
@@ -122,21 +129,28 @@
         if not reply.granted:
             return reply.reason
         if reply.fence < self._fences.get(back_end.name, 0):
-            self._release(back_end.name, ask.request, "not_run", 0, 0.0)
+            self._withdraw(ask)
             return BUSY
         self._held[ask.request] = (back_end.name, held)
-        return Seat(back_end, ask.request, reply.fence, reply.waited_for_load)
+        return Seat(
+            back_end, ask.request, reply.fence, ask.attempt, reply.waited_for_load
+        )
+
+    def _withdraw(self, ask):
+        """Give back what `ask` may have been granted."""
+        self._release(
+            SeatRelease(ask.back_end, ask.request, ask.attempt, "not_run", 0, 0.0)
+        )
 
-    def _release(self, back_end, request, outcome, tokens, seconds):
-        message = SeatRelease(back_end, request, outcome, tokens, seconds)
-        task = asyncio.create_task(self._deliver(back_end, message))
+    def _release(self, message):
+        task = asyncio.create_task(self._deliver(message))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _deliver(self, back_end, message):
+    async def _deliver(self, message):
         """Repeat a release until the present owner has it."""
         for _ in range(RELEASE_TRIES):
-            resource = back_end_resource(back_end)
+            resource = back_end_resource(message.back_end)
             owner = self._membership.ownership.owner_of(resource)
             if owner is not None:
                 if await self._mesh.ask(owner, message, RELEASE_TIMEOUT) is not None:
--- /dev/null
+++ b/tests/test_seat.py
@@ -0,0 +1,186 @@
+"""
+tests.test_seat
+~~~~~~~~~~~~~~~
+
+The owner's side of a back end, with orders that need no engine.
+"""
+
+import asyncio
+
+from rosemarypath.backend import BackEnd
+from rosemarypath.history import History
+from rosemarypath.messages import SeatAsk, SeatRelease
+from rosemarypath.orders import LoadReport
+from rosemarypath.policies import Waiter
+from rosemarypath.seat import BUSY, NOT_OWNER, OUT_OF_SERVICE, REBUILDING, SeatBroker
+
+
+class FakeOrders:
+    """Orders that succeed at once; `running` are adapters reported as in use."""
+
+    def __init__(self):
+        self.held = []
+        self.running = frozenset()
+
+    async def load(self, adapter, fence):
+        self.held.append(adapter)
+        return True
+
+    async def unload(self, adapter, fence):
+        self.held.remove(adapter)
+        return True
+
+    async def loaded(self):
+        return list(self.held)
+
+    async def report(self):
+        return LoadReport(frozenset(), self.running, tuple(self.held), 0)
+
+
+async def permit(name):
+    return lambda: None
+
+
+def ask(request, adapter="a@1", attempt=1, patience=0.2):
+    return SeatAsk("e", request, "c", adapter, 10, patience, 0.0, attempt)
+
+
+def release(request, attempt=1, outcome="ran"):
+    return SeatRelease("e", request, attempt, outcome, 10, 0.1)
+
+
+def with_broker(check, held=(), slots=2, fence=lambda: 7):
+    """Run ``check(broker, orders)`` with a broker that is ready."""
+
+    async def collect_held():
+        return held
+
+    async def run():
+        back_end = BackEnd(
+            name="e",
+            address="h:1",
+            zone="z",
+            kind="engine",
+            serves="m",
+            capacity=4,
+            cold_capacity=2,
+            slots=slots,
+        )
+        orders = FakeOrders()
+        broker = SeatBroker(
+            back_end,
+            orders,
+            fence,
+            permit,
+            "fair",
+            History(),
+            lambda identity: True,
+            lambda identity: collect_held(),
+        )
+        assert (await broker.ask(ask("early"), "n/1", 1.0)).reason == REBUILDING
+        broker.start(collect_held)
+        await asyncio.sleep(0.01)
+        try:
+            await check(broker, orders)
+        finally:
+            broker.stop()
+
+    asyncio.run(run())
+
+
+def test_seat_is_granted_after_a_load():
+    async def check(broker, orders):
+        reply = await broker.ask(ask("r"), "n/1", 1.0)
+        assert (reply.granted, reply.fence, orders.held) == (True, 7, ["a@1"])
+
+    with_broker(check)
+
+
+def test_cold_back_end_takes_no_more_than_it_carries():
+    async def check(broker, orders):
+        for request in ("r1", "r2"):
+            assert (await broker.ask(ask(request), "n/1", 1.0)).granted
+        assert (await broker.ask(ask("r3"), "n/1", 1.0)).reason == BUSY
+        broker.release(release("r1"))
+        assert (await broker.ask(ask("r3"), "n/1", 1.0)).granted
+
+    with_broker(check)
+
+
+def test_adapter_in_use_is_not_evicted():
+    async def check(broker, orders):
+        assert (await broker.ask(ask("r1"), "n/1", 1.0)).granted
+        assert not (await broker.ask(ask("r2", "b@1"), "n/1", 1.0)).granted
+        broker.release(release("r1"))
+        assert (await broker.ask(ask("r2", "b@1", patience=2.0), "n/1", 1.0)).granted
+        assert orders.held == ["b@1"]
+
+    with_broker(check, slots=1)
+
+
+def test_adapter_that_the_engine_runs_is_not_evicted():
+    async def check(broker, orders):
+        assert (await broker.ask(ask("r1"), "n/1", 1.0)).granted
+        broker.release(release("r1"))
+        orders.running = frozenset({"a@1"})
+        assert not (await broker.ask(ask("r2", "b@1"), "n/1", 1.0)).granted
+        assert orders.held == ["a@1"]
+
+    with_broker(check, slots=1)
+
+
+def test_late_release_of_an_earlier_attempt_is_void():
+    async def check(broker, orders):
+        assert (await broker.ask(ask("r", attempt=1), "n/1", 1.0)).granted
+        assert (await broker.ask(ask("r", attempt=2), "n/1", 1.0)).granted
+        broker.release(release("r", attempt=1, outcome="not_run"))
+        assert set(broker.seats) == {"r"}
+        broker.release(release("r", attempt=2))
+        assert broker.seats == {}
+
+    with_broker(check)
+
+
+def test_held_seats_count_for_a_new_owner():
+    waiter = Waiter("old", "c", "a@1", 10, 1.0, 0.0, 5)
+
+    async def check(broker, orders):
+        assert set(broker.seats) == {"old"}
+        assert broker.free == 1
+
+    with_broker(check, held=[(waiter, "n/1")])
+
+
+def test_broken_request_takes_the_ramp_back():
+    async def check(broker, orders):
+        for number in range(10):
+            await broker.ask(ask(f"r{number}"), "n/1", 1.0)
+            broker.release(release(f"r{number}"))
+        assert broker.limit > 2
+        await broker.ask(ask("last"), "n/1", 1.0)
+        broker.release(release("last", outcome="broken"))
+        assert broker.limit == 2
+
+    with_broker(check)
+
+
+def test_closed_back_end_refuses():
+    async def check(broker, orders):
+        broker.set_open(False)
+        assert (await broker.ask(ask("r"), "n/1", 1.0)).reason == OUT_OF_SERVICE
+        broker.set_open(True)
+        assert (await broker.ask(ask("r"), "n/1", 1.0)).granted
+
+    with_broker(check)
+
+
+def test_owner_that_may_not_act_grants_nothing():
+    fences = [7]
+
+    async def check(broker, orders):
+        assert (await broker.ask(ask("r1"), "n/1", 1.0)).granted
+        fences[0] = None
+        assert not (await broker.ask(ask("r2"), "n/1", 1.0)).granted
+        assert (await broker.ask(ask("r1", attempt=2), "n/1", 1.0)).reason == NOT_OWNER
+
+    with_broker(check, fence=lambda: fences[0])
