Mend what reading showed: changed addresses, unbounded hints, failures unseen

Cause: an owner kept giving orders to the old address of a back end whose rule changed; hints of residency were never dropped; an exception in the callers' API gave no JSON.

Change: a new owner's state for a changed address, hints dropped every 30 s, a typed error 'internal' that says the outcome is unknown, a mutant that does not drain.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -18,7 +18,6 @@
     daemon,
     entry,
     exchange,
-    httpserver,
     membership,
     outcome,
     ramp,
@@ -200,13 +199,13 @@
 
 @mutant("stop_at_once", 13, "stop_machine")
 def stop_at_once():
-    """Cuts what is in flight when it is told to stop."""
-    original = httpserver.HttpServer.stop
+    """Cuts what is in flight when it is told to stop, without draining."""
 
-    async def stop(self, grace=None):
-        await original(self, grace=0.001)
+    async def stop(self):
+        await self._callers.stop(grace=0.001)
+        await self.membership.stop()
 
-    httpserver.HttpServer.stop = stop
+    daemon.Daemon.stop = stop
 
 
 @mutant("serve_out_of_standing", 14, "silence_machine", "new_version", "pause_machine")
--- a/rosemarypath/daemon.py
+++ b/rosemarypath/daemon.py
@@ -43,6 +43,7 @@
 KEPT_REQUESTS = 1000
 SERVER_ERROR = 500
 LEAVE_TIMEOUT = 5.0
+FORGET_SECONDS = 30.0
 EXIT_SETTINGS = 2
 
 _log = get_logger("daemon")
@@ -119,6 +120,7 @@
         await self.membership.start()
         await self.relay.start()
         self.owners.start()
+        self.spawn(self._forget_forever())
         self.entry.add_routes(self._callers)
         OperatorsApi(self).add_routes(self._operators)
         await self._callers.start()
@@ -257,6 +259,12 @@
         zone = self.settings.zone
         self.levels.add(objective, customer, zone, cause, time.time())
 
+    async def _forget_forever(self):
+        """Drop hints that ran out, from time to time."""
+        while True:
+            await asyncio.sleep(FORGET_SECONDS)
+            self.placement.forget_old(time.monotonic())
+
     def _on_configuration(self, configuration):
         self.history.write("configuration_adopted", revision=configuration.revision)
 
--- a/rosemarypath/entry.py
+++ b/rosemarypath/entry.py
@@ -135,6 +135,10 @@
         except (asyncio.CancelledError, ConnectionResetError):
             self._daemon.history.write("caller_left", request=request_id)
             return Response(499)
+        except Exception:
+            _log.exception("request {} failed", request_id)
+            outcome = Unknown(500, "internal", "the daemon failed; see its log")
+            return self._refusal(outcome, request_id)
         finally:
             if not handed_over:
                 self.in_flight -= 1
--- a/rosemarypath/levels.py
+++ b/rosemarypath/levels.py
@@ -13,7 +13,6 @@
 GAP_SECONDS = 0.061
 SLICE_SECONDS = 10
 KEPT_SLICES = 360
-CAUSES = ("load_stall", "queue", "refusal", "back_end")
 
 
 class ServiceLevels:
@@ -21,7 +20,8 @@
     Good and bad events in slices of ten seconds, kept for an hour.
 
     Each event has an objective (``first_token``, ``token_gap`` or ``refusal``), a
-    customer, a zone and, when it is bad, a cause.
+    customer, a zone and, when it is bad, a cause (``load_stall``, ``queue``,
+    ``refusal`` or ``back_end``).
     """
 
     def __init__(self):
--- a/rosemarypath/owners.py
+++ b/rosemarypath/owners.py
@@ -169,6 +169,9 @@
             broker = self._new_broker(back_end, resource)
             self._brokers[back_end.name] = broker
             broker.start(lambda: self._collect_held(resource, back_end.name))
+        elif broker.back_end.address != back_end.address:
+            self._brokers.pop(back_end.name).stop()
+            return
         elif broker.back_end != back_end:
             broker.update(back_end)
         is_leaving = back_end.name in self._relay.leaving
