--- a/rosemarypath/messages.py
+++ b/rosemarypath/messages.py
@@ -3,6 +3,9 @@
 ~~~~~~~~~~~~~~~~~~~~~
 
 The messages between daemons, encoded as MessagePack by msgspec.
+
+Daemons of two versions run beside each other while machines are replaced in turn, so
+new fields come last and have defaults.
 """
 
 import msgspec
@@ -172,8 +175,8 @@
     adapter: str
     tokens: int
     patience: float
-    waited: float
-    attempt: int
+    waited: float = 0.0
+    attempt: int = 0
 
 
 class SeatReply(Message):
@@ -203,10 +206,10 @@
 
     back_end: str
     request: str
-    attempt: int
     outcome: str
     tokens: int
     seconds: float
+    attempt: int = 0
 
 
 class HeldSeat(msgspec.Struct, frozen=True, array_like=True):
@@ -216,7 +219,7 @@
     customer: str
     adapter: str
     tokens: int
-    attempt: int
+    attempt: int = 0
 
 
 class SeatsHeldAsk(Message):
--- a/rosemarypath/seatclient.py
+++ b/rosemarypath/seatclient.py
@@ -105,7 +105,7 @@
         """Give `seat` back; `outcome` is as in `SeatRelease`."""
         self._held.pop(seat.request, None)
         message = SeatRelease(
-            seat.back_end.name, seat.request, seat.attempt, outcome, tokens, seconds
+            seat.back_end.name, seat.request, outcome, tokens, seconds, seat.attempt
         )
         self._release(message)
 
@@ -139,7 +139,7 @@
     def _withdraw(self, ask):
         """Give back what `ask` may have been granted."""
         self._release(
-            SeatRelease(ask.back_end, ask.request, ask.attempt, "not_run", 0, 0.0)
+            SeatRelease(ask.back_end, ask.request, "not_run", 0, 0.0, ask.attempt)
         )
 
     def _release(self, message):
--- a/tests/test_seat.py
+++ b/tests/test_seat.py
@@ -46,7 +46,7 @@
 
 
 def release(request, attempt=1, outcome="ran"):
-    return SeatRelease("e", request, attempt, outcome, 10, 0.1)
+    return SeatRelease("e", request, outcome, 10, 0.1, attempt)
 
 
 def with_broker(check, held=(), slots=2, fence=lambda: 7):
