--- a/rosemarypath/slots.py
+++ b/rosemarypath/slots.py
@@ -101,6 +101,8 @@
         if slot is not None and slot.in_use > 0:
             slot.in_use -= 1
             slot.used_at = now
+            if slot.in_use == 0 and not slot.is_loaded:
+                del self._slots[adapter]
 
     def forget(self, adapter):
         """Record that the engine said it lacks `adapter`."""
--- a/tests/test_seat.py
+++ b/tests/test_seat.py
@@ -184,3 +184,16 @@
         assert (await broker.ask(ask("r1", attempt=2), "n/1", 1.0)).reason == NOT_OWNER
 
     with_broker(check, fence=lambda: fences[0])
+
+
+def test_slots_of_a_restarted_engine_are_free_again():
+    async def check(broker, orders):
+        for request in ("r1", "r2"):
+            assert (await broker.ask(ask(request), "n/1", 1.0)).granted
+        orders.held.clear()
+        broker.release(release("r1", outcome="broken"))
+        await asyncio.sleep(0.01)
+        broker.release(release("r2"))
+        assert (await broker.ask(ask("r3", "b@1"), "n/1", 1.0)).granted
+
+    with_broker(check, slots=1)
