Break enough streams to show that resuming them is checked; apply the examples

The fault for all engines at once is drawn only when it is named, so that the plans of the seeds stay.

--- a/proofs/faults.py
+++ b/proofs/faults.py
@@ -27,17 +27,19 @@
     seconds: float
 
 
-def fault(name, targets, seconds):
+def fault(name, targets, seconds, by_name=False):
     """
     Register a class with the steps begin and end as the fault `name`.
 
     `targets` is ``machine``, ``engine``, ``service``, ``zone``, ``customer``,
-    ``adapter`` or empty; `seconds` the shortest and the longest time it lasts.
+    ``adapter`` or empty; `seconds` the shortest and the longest time it lasts. Those
+    `by_name` are drawn only when they are asked for.
     """
 
     def register(cls):
         cls.targets = targets
         cls.seconds = seconds
+        cls.by_name = by_name
         return _faults(name)(cls)
 
     return register
@@ -49,8 +51,8 @@
 
 
 def known_faults():
-    """Return the names of all faults."""
-    return _faults.names
+    """Return the names of the faults that plans are drawn from."""
+    return [name for name in _faults.names if not _faults[name].by_name]
 
 
 def draw_plan(seed, fleet, names=None):
@@ -101,6 +103,7 @@
     name = ""
     targets = ""
     seconds = (2.0, 4.0)
+    by_name = False
 
     def begin(self, run, target):
         """Bring the fault about."""
@@ -195,6 +198,14 @@
     mode = "hush"
 
 
+@fault("hush_engines", "", (3.0, 4.0), by_name=True)
+class HushEngines(_WireFault):
+    """Silences the open connections to all engines for good."""
+
+    match = "*>engine-*"
+    mode = "hush"
+
+
 class _Switch(_Steps):
     """Sets switches of a stand-in and sets them back."""
 
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -152,7 +152,7 @@
     configuration.Configuration.zone_accepts = lambda self, zone: True
 
 
-@mutant("resume_from_start", 9, "hush_engine", "engine_silent")
+@mutant("resume_from_start", 9, "hush_engines", "hush_engines", "hush_engines")
 def resume_from_start():
     """Resumes streams from their beginning, whatever was delivered."""
     original = upstream.Upstream._resume
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -7,10 +7,12 @@
 
 import json
 import re
+from pathlib import Path
 
 import pytest
 
 from bench.demo import call
+from bench.fleet import Fleet, FleetPlan
 from rosemarypath.cmdline import main
 from rosemarypath.commands import known_commands
 
@@ -146,3 +148,22 @@
 def test_no_daemon_answers(capsys):
     assert main(["status", "--daemon", "127.0.0.1:1"]) == 1
     assert "does not answer" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("name", ["kesariya", "mfereji"])
+def test_examples_apply_at_their_real_sizes(name, tmp_path, capsys):
+    source = Path(__file__).parent.parent / "examples" / f"{name}.rules"
+    path = tmp_path / source.name
+    path.write_text(source.read_text())
+    fleet = Fleet(FleetPlan(machines=0, engines=0, services=0), tmp_path / "fleet")
+    fleet._choose_addresses()
+    fleet.start_stand_ins()
+    try:
+        words = ["apply", str(path), "--object-api", fleet.addresses["object-api"]]
+        assert main([*words, "--json"]) == 0
+        applied = json.loads(capsys.readouterr().out)
+        assert applied["revision"] == 1
+        assert len(applied["changes"]) > 6000
+        assert path.read_text().startswith("# based on revision 1\n")
+    finally:
+        fleet.stop()
