--- a/proofs/run.py
+++ b/proofs/run.py
@@ -25,6 +25,8 @@
 
 SETTLE_SECONDS = 8.0
 STOP_SECONDS = 60.0
+REPLACED = 3
+REPLACE_SECONDS = 4.0
 SHOWN_BREAKS = 5
 CUSTOMERS = {
     "dryers": {"rate": 1500, "burst": 3000, "weight": 2},
@@ -86,14 +88,24 @@
         """Bring the faults about under load; return when all is mended."""
         self._note_contracts()
         length = max(f.at + f.seconds for f in self.plan) + SETTLE_SECONDS
-        callers = self._start_callers(length)
+        callers = self._start_callers(length + REPLACED * REPLACE_SECONDS)
         self._play(time.monotonic())
+        self._replace_machines()
         callers.wait()
         self.operator.wait()
         for thread in self._restarts:
             thread.join(STOP_SECONDS)
         self._history.close()
 
+    def _replace_machines(self):
+        """Stop and start some machines in turn, so that every run has planned stops."""
+        for thread in self._restarts:
+            thread.join(STOP_SECONDS)
+        for name in self.fleet.machine_names[:REPLACED]:
+            self.begin_stop(name)
+            self.end_stop(name)
+            self.restart_machine(name)
+
     def restart_machine(self, name):
         """Start a daemon anew, without waiting until it is ready."""
 
