--- a/rosemarypath/applying.py
+++ b/rosemarypath/applying.py
@@ -22,7 +22,6 @@
     "change_rule",
     "read_adoption",
     "read_header",
-    "read_rules",
     "set_option",
     "store_rules",
     "with_header",
@@ -66,11 +65,6 @@
     return f"{line}\n{text}"
 
 
-async def read_rules(store):
-    """Return ``(configuration, version)`` in the object API."""
-    return await read_configuration(store)
-
-
 async def store_rules(store, rules, base_revision):
     """
     Store `rules` as the revision after `base_revision`; return ``(revision, changes)``.
--- a/rosemarypath/commands/rules.py
+++ b/rosemarypath/commands/rules.py
@@ -13,7 +13,6 @@
 from rosemarypath.applying import (
     read_adoption,
     read_header,
-    read_rules,
     store_rules,
     with_header,
 )
@@ -26,6 +25,7 @@
 from rosemarypath.configuration import compare
 from rosemarypath.errors import RosemarypathError
 from rosemarypath.rules import parse_rules
+from rosemarypath.spread import read_configuration
 
 __all__ = ["ApplyCommand", "CheckCommand", "PlanCommand", "ShowCommand"]
 
@@ -111,7 +111,7 @@
         _, rules = read_file(options.file)
         if rules is None:
             return EXIT_RULES
-        current, _ = await read_rules(context.store)
+        current, _ = await read_configuration(context.store)
         show_changes(context, current.revision, compare(current.all_rules(), rules))
         return 0
 
@@ -163,7 +163,7 @@
         add_store_argument(parser)
 
     async def run(self, context, options):
-        current, _ = await read_rules(context.store)
+        current, _ = await read_configuration(context.store)
         lines = [rule.text for rule in current.all_rules()]
         header = f"# based on revision {current.revision}"
         document = {"revision": current.revision, "rules": lines}
--- a/rosemarypath/orders.py
+++ b/rosemarypath/orders.py
@@ -54,10 +54,6 @@
         status = await self._order("unload", adapter, fence, ORDER_TIMEOUT)
         return status in {200, 404}
 
-    async def cancel(self, request):
-        """End `request` on the engine."""
-        await self._post(f"/v1/requests/{request}/cancel", {}, {}, ORDER_TIMEOUT)
-
     async def report(self):
         """Return the `LoadReport`, or ``None`` when the back end does not answer."""
         document = await self._get("/load")
