--- a/rosemarypath/backend.py
+++ b/rosemarypath/backend.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-__all__ = ["ENGINE", "SERVICE", "BackEnd"]
+__all__ = ["ENGINE", "SERVICE", "BackEnd", "BackEndEntry", "HeldModel"]
 
 ENGINE = "engine"
 SERVICE = "service"
@@ -42,3 +42,34 @@
     cold_capacity: int = 2
     slots: int = 8
     fences: bool = True
+
+
+class HeldModel(msgspec.Struct, frozen=True):
+    """A base model that an engine holds; `adapters` maps names to versions."""
+
+    name: str
+    version: int
+    adapters: dict
+
+
+class BackEndEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    What the platform's list says of one back end.
+
+    Options:
+
+    `is_leaving`
+        Whether it takes no new work.
+    `cold_seconds`
+        How long it stays cold from when the entry was written (default 0).
+    `born`
+        When it started, in Unix milliseconds; 0 where unknown.
+    `models`
+        The `HeldModel` entries of an engine.
+    """
+
+    back_end: BackEnd
+    is_leaving: bool = False
+    cold_seconds: float = 0.0
+    born: int = 0
+    models: tuple = ()
--- /dev/null
+++ b/rosemarypath/backends.py
@@ -0,0 +1,238 @@
+"""
+rosemarypath.backends
+~~~~~~~~~~~~~~~~~~~~~
+
+What this daemon knows of each back end: entry, load, failures, coldness.
+"""
+
+from collections import Counter, deque
+
+__all__ = ["BackEndState", "BackEnds", "Load"]
+
+FAILURE_HALF_LIFE = 2.0  # seconds; a fault of some seconds is soon tried again
+PEER_LOAD_SECONDS = 1.0  # a peer's count is dropped when it is older
+REMOVAL_GRACE = 2.0  # seconds that an entry lost around an outage still counts
+UNSTABLE_SECONDS = 3.0  # after a failure of the store, removals may be lapses
+COLD_WINDOW = 1.0  # seconds over which sends to a cold back end are bounded
+HOLDER_WORD_SECONDS = 2.0  # the order holder's word beats the list's for so long
+SLOW_SHARE = 0.1  # weight of a new latency in the moving average
+
+
+class Load:
+    """Requests on their way at one back end, as counted by one daemon."""
+
+    def __init__(self):
+        self.running = 0
+        self.prompt_tokens = 0
+        self.adapters = Counter()
+
+
+class BackEndState:
+    """
+    One back end.
+
+    `entry` is what the platform's list says, `seen_at` when that was read.
+    """
+
+    def __init__(self, entry, now):
+        self._failures = 0.0
+        self._failed_at = now
+        self._sent = deque()
+        self._peer_loads = {}
+        self.entry = entry
+        self.seen_at = now
+        self.own = Load()
+        self.adapters = {}
+        self.model_versions = {}
+        self.removed_at = None
+        self.cold_until = now + entry.cold_seconds
+        self.last_used = {}
+        self.latency = 0.0
+        self.holder_told_at = float("-inf")
+
+    @property
+    def back_end(self):
+        """Return the `BackEnd`."""
+        return self.entry.back_end
+
+    @property
+    def name(self):
+        """Return the back end's name."""
+        return self.entry.back_end.name
+
+    def is_cold(self, now):
+        """Return whether it may only be asked slowly."""
+        return now < self.cold_until
+
+    def running(self, now):
+        """Return the requests on their way from all daemons."""
+        return self.own.running + sum(
+            load.running for load in self._fresh_peers(now)
+        )
+
+    def prompt_tokens(self, now):
+        """Return the prompt tokens not yet read, from all daemons."""
+        return self.own.prompt_tokens + sum(
+            load.prompt_tokens for load in self._fresh_peers(now)
+        )
+
+    def note_peer_load(self, peer, running, prompt_tokens, adapters, now):
+        """Record what `peer` has on its way here."""
+        load = Load()
+        load.running = running
+        load.prompt_tokens = prompt_tokens
+        load.adapters.update(adapters)
+        self._peer_loads[peer] = (load, now)
+        for adapter in load.adapters:
+            self.last_used[adapter] = now
+
+    def forget_peer(self, peer):
+        """Drop what `peer` had on its way."""
+        self._peer_loads.pop(peer, None)
+
+    def is_in_use(self, adapter, now):
+        """Return whether any daemon has a request for `adapter` on its way here."""
+        if self.own.adapters[adapter] > 0:
+            return True
+        return any(load.adapters[adapter] for load in self._fresh_peers(now))
+
+    def _fresh_peers(self, now):
+        return [
+            load
+            for load, at in self._peer_loads.values()
+            if now - at < PEER_LOAD_SECONDS
+        ]
+
+    def begin(self, demand, now):
+        """Count a request that is sent."""
+        self.own.running += 1
+        self.own.prompt_tokens += demand.prompt_tokens
+        if demand.adapter:
+            self.own.adapters[demand.held_name] += 1
+            self.last_used[demand.held_name] = now
+        self._sent.append(now)
+        while self._sent and now - self._sent[0] > COLD_WINDOW:
+            self._sent.popleft()
+
+    def note_first_byte(self, demand):
+        """Record that the prompt of a request was read."""
+        self.own.prompt_tokens -= demand.prompt_tokens
+
+    def end(self, demand, had_first_byte, now):
+        """Count a request that ended."""
+        self.own.running -= 1
+        if not had_first_byte:
+            self.own.prompt_tokens -= demand.prompt_tokens
+        if demand.adapter:
+            self.own.adapters[demand.held_name] -= 1
+            self.last_used[demand.held_name] = now
+            if not self.own.adapters[demand.held_name]:
+                del self.own.adapters[demand.held_name]
+
+    def sent_lately(self, now):
+        """Return how many requests this daemon sent in the last second."""
+        while self._sent and now - self._sent[0] > COLD_WINDOW:
+            self._sent.popleft()
+        return len(self._sent)
+
+    def note_failure(self, now, weight=1.0):
+        """Record a request that failed by this back end's doing."""
+        self._failures = self.failures(now) + weight
+        self._failed_at = now
+
+    def note_success(self, now, seconds):
+        """Record an answer whose first byte took `seconds`."""
+        self._failures = self.failures(now) * 0.5
+        self._failed_at = now
+        self.latency += SLOW_SHARE * (seconds - self.latency)
+
+    def failures(self, now):
+        """Return the recent failures, decayed."""
+        age = max(0.0, now - self._failed_at)
+        return self._failures * 0.5 ** (age / FAILURE_HALF_LIFE)
+
+    def set_entry(self, entry, now):
+        """Put a newer entry in force."""
+        if entry.born != self.entry.born:
+            self.adapters = {}
+            self.model_versions = {}
+        self.entry = entry
+        self.seen_at = now
+        self.removed_at = None
+        self.cold_until = now + entry.cold_seconds
+        if now - self.holder_told_at > HOLDER_WORD_SECONDS:
+            self.set_models(entry.models)
+
+    def note_holder_word(self, models, now):
+        """Take over what its order holder says that it holds, which is newer."""
+        self.holder_told_at = now
+        self.set_models(models)
+
+    def set_models(self, models):
+        """Take over which models and adapters it says that it holds."""
+        self.model_versions = {model.name: model.version for model in models}
+        self.adapters = {
+            f"{model.name}/{adapter}": version
+            for model in models
+            for adapter, version in model.adapters.items()
+        }
+
+
+class BackEnds:
+    """All back ends by name; zones that operators took out are left out of choices."""
+
+    def __init__(self):
+        self._by_service = {}
+        self.states = {}
+        self.evacuated = frozenset()
+
+    def set_entry(self, entry, now):
+        """Record a back end's entry; return its state."""
+        state = self.states.get(entry.back_end.name)
+        if state is None:
+            state = BackEndState(entry, now)
+            state.set_models(entry.models)
+            self.states[entry.back_end.name] = state
+        else:
+            state.set_entry(entry, now)
+        self._by_service = {}
+        return state
+
+    def remove(self, name, now, may_be_lapse):
+        """Record that an entry is gone, at once or after a grace."""
+        state = self.states.get(name)
+        if state is None:
+            return
+        if may_be_lapse and not state.entry.is_leaving:
+            state.removed_at = now
+        else:
+            self._drop(name)
+
+    def drop_removed(self, now):
+        """Drop the entries whose grace is over; return their names."""
+        gone = [
+            name
+            for name, state in self.states.items()
+            if state.removed_at is not None and now - state.removed_at > REMOVAL_GRACE
+        ]
+        for name in gone:
+            self._drop(name)
+        return gone
+
+    def usable(self, service):
+        """Return the states of `service` that take new work."""
+        if service not in self._by_service:
+            self._by_service[service] = [
+                state
+                for state in self.states.values()
+                if state.back_end.serves == service and not state.entry.is_leaving
+            ]
+        return [
+            state
+            for state in self._by_service[service]
+            if state.back_end.zone not in self.evacuated
+        ]
+
+    def _drop(self, name):
+        del self.states[name]
+        self._by_service = {}
--- /dev/null
+++ b/rosemarypath/choice.py
@@ -0,0 +1,147 @@
+"""
+rosemarypath.choice
+~~~~~~~~~~~~~~~~~~~
+
+Which back end runs a request, and whether an adapter has to be loaded for it first.
+
+The load answered here: a few adapters that make up a quarter of all requests, a long
+tail of adapters of which most are held nowhere, prompts of very different length,
+and back ends that fail, are cold or just came back.
+"""
+
+import random
+from dataclasses import dataclass
+
+from rosemarypath.hashing import score
+
+__all__ = ["Choice", "Refusal", "choose_back_end"]
+
+PREFILL_TOKENS_PER_SECOND = 25_000.0  # what one engine reads; from the users' sheet
+LOAD_SECONDS = 0.3  # an adapter's load with its order, from the users' sheet
+BLOCKED_SECONDS = 5.0  # a replacement waits for streams of some seconds
+HOME_STEP = 0.02  # seconds of difference that keep an adapter at its home
+RUNNING_SECONDS = 0.002  # what one more running request costs a new one
+QUEUE_SECONDS = 0.05  # what each request beyond the slots costs a new one
+FAILURE_SECONDS = 0.4  # what one recent failure costs
+DISTANCE_SECONDS = 0.001  # one way between two zones
+OLD_VERSION_SECONDS = 3.0  # an old version may start requests for so long
+JITTER_SECONDS = 0.001  # spreads equal choices
+
+
+@dataclass(frozen=True)
+class Choice:
+    """A back end's `state`, and whether the adapter must be loaded there first."""
+
+    state: object
+    needs_load: bool = False
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """Why no back end can take the request, and when to come back, in seconds."""
+
+    reason: str
+    retry_after: float
+
+
+def choose_back_end(states, demand, facts, now):
+    """
+    Return a `Choice` or a `Refusal`.
+
+    `states` are the usable `BackEndState` entries, `facts` the `ChoiceFacts`.
+    """
+    if not states:
+        return Refusal("no_back_end", 0.5)
+    best = None
+    best_cost = float("inf")
+    homes = _homes(states, demand)
+    is_any_warm = False
+    for state in states:
+        if state.name in facts.excluded:
+            continue
+        if state.is_cold(now) and state.sent_lately(now) >= facts.cold_sends:
+            continue
+        is_any_warm = True
+        held = _holds(state, demand, facts, now)
+        if held is None or (not held and state.name in facts.unloadable):
+            continue
+        cost = _cost(state, demand, facts, held, homes.get(state.name, 0), now)
+        if cost < best_cost:
+            best = Choice(state, needs_load=not held)
+            best_cost = cost
+    if best is not None:
+        return best
+    if not is_any_warm:
+        return Refusal("all_tried_or_cold", 0.3)
+    return Refusal("cannot_load", 0.3)
+
+
+@dataclass(frozen=True)
+class ChoiceFacts:
+    """
+    What a choice takes into account besides the back ends.
+
+    Options:
+
+    `zone`
+        This daemon's zone.
+    `version`, `version_age`
+        The newest version of the adapter (0: any) and the seconds since it was learned.
+    `excluded`
+        Names of back ends that may not get this request.
+    `unloadable`
+        Names of engines where nobody can load an adapter now.
+    `cold_sends`
+        Requests a second that this daemon may send to a cold back end.
+    """
+
+    zone: str
+    version: int = 0
+    version_age: float = 0.0
+    excluded: frozenset = frozenset()
+    unloadable: frozenset = frozenset()
+    cold_sends: float = 1.0
+
+
+def _holds(state, demand, facts, now):
+    """Return whether `state` holds what is asked for; ``None``: it cannot take it."""
+    if not demand.model:
+        return True
+    if demand.model not in state.model_versions:
+        return None
+    if not demand.adapter:
+        return True
+    version = state.adapters.get(demand.held_name)
+    if version is None:
+        return False
+    if version >= facts.version or facts.version_age < OLD_VERSION_SECONDS:
+        return True
+    return None if state.is_in_use(demand.held_name, now) else False
+
+
+def _homes(states, demand):
+    """Return the rank of each engine as a home of the adapter."""
+    if not demand.adapter:
+        return {}
+    name = demand.held_name
+    ranked = sorted(states, key=lambda state: score(name, state.name), reverse=True)
+    return {state.name: rank for rank, state in enumerate(ranked)}
+
+
+def _cost(state, demand, facts, is_held, rank, now):
+    """Return about how many seconds pass until the first byte."""
+    running = state.running(now)
+    cost = running * RUNNING_SECONDS
+    cost += max(0, running - state.back_end.capacity) * QUEUE_SECONDS
+    cost += state.failures(now) * FAILURE_SECONDS
+    cost += JITTER_SECONDS * random.random()
+    if state.back_end.zone != facts.zone:
+        cost += DISTANCE_SECONDS
+    if not demand.model:
+        return cost + running / state.back_end.capacity * max(state.latency, 0.01)
+    cost += state.prompt_tokens(now) / PREFILL_TOKENS_PER_SECOND
+    if not is_held:
+        cost += LOAD_SECONDS + HOME_STEP * rank
+    elif state.adapters.get(demand.held_name, 0) < facts.version:
+        cost += LOAD_SECONDS
+    return cost
--- /dev/null
+++ b/rosemarypath/decisionlog.py
@@ -0,0 +1,93 @@
+"""
+rosemarypath.decisionlog
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Structured logs on standard output: bounded, and never waited for.
+"""
+
+import os
+import time
+from collections import Counter
+
+import msgspec
+
+__all__ = ["DecisionLog"]
+
+LINES_PER_SECOND = 300  # a machine of one core spends under 1 % of it on them
+FAILURE_LINES_PER_SECOND = 300  # on top, for lines that tell of a failure
+BUFFER_BYTES = 256 * 1024  # what waits for a reader that is slow
+FLUSH_SECONDS = 0.2  # between two writes
+STDOUT = 1
+
+FAILURES = frozenset({"refused", "failed", "broken", "lost", "error", "rejected"})
+
+
+class DecisionLog:
+    """
+    Writes one JSON line for each decision.
+
+    Every line has the time (Unix seconds), the machine, the part it comes from and
+    the event; lines beyond the bound are counted by event and the counts written.
+    """
+
+    def __init__(self, machine, descriptor=STDOUT):
+        self._machine = machine
+        self._descriptor = descriptor
+        self._encoder = msgspec.json.Encoder()
+        self._lines = []
+        self._size = 0
+        self._second = 0
+        self._count = 0
+        self._failure_count = 0
+        self._dropped = Counter()
+        self.written = 0
+        try:
+            os.set_blocking(descriptor, False)
+        except OSError:
+            self._descriptor = None
+
+    def write(self, part, event, **fields):
+        """Write one line with the given fields."""
+        at = time.time()
+        if not self._has_room(event, at):
+            self._dropped[event] += 1
+            return
+        record = {"at": round(at, 4), "machine": self._machine, "part": part}
+        record["event"] = event
+        record.update(fields)
+        line = self._encoder.encode(record) + b"\n"
+        self._lines.append(line)
+        self._size += len(line)
+
+    def flush(self):
+        """Hand the waiting lines to standard output as far as it takes them."""
+        if self._dropped:
+            dropped, self._dropped = dict(self._dropped), Counter()
+            self.write("log", "left_out", counts=dropped)
+        if not self._lines or self._descriptor is None:
+            return
+        data = b"".join(self._lines)
+        try:
+            sent = os.write(self._descriptor, data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self._descriptor = None
+            return
+        self.written += sent
+        rest = data[sent:]
+        self._lines = [rest] if rest else []
+        self._size = len(rest)
+
+    def _has_room(self, event, at):
+        if self._size > BUFFER_BYTES:
+            return False
+        if int(at) != self._second:
+            self._second = int(at)
+            self._count = 0
+            self._failure_count = 0
+        if event in FAILURES:
+            self._failure_count += 1
+            return self._failure_count <= FAILURE_LINES_PER_SECOND
+        self._count += 1
+        return self._count <= LINES_PER_SECOND
--- a/rosemarypath/errors.py
+++ b/rosemarypath/errors.py
@@ -7,7 +7,9 @@
 
 __all__ = [
     "ConflictError",
+    "ConnectError",
     "NotFoundError",
+    "ResponseError",
     "RosemarypathError",
     "RulesError",
     "SettingsError",
@@ -63,3 +65,11 @@
 
 class VersionGoneError(RosemarypathError):
     """A watch asked for a version that the object API no longer holds."""
+
+
+class ConnectError(RosemarypathError):
+    """No connection could be made, so that nothing was sent."""
+
+
+class ResponseError(RosemarypathError):
+    """An answer is missing or broken; the request may have been carried out."""
--- /dev/null
+++ b/rosemarypath/fleet.py
@@ -0,0 +1,197 @@
+"""
+rosemarypath.fleet
+~~~~~~~~~~~~~~~~~~
+
+What one daemon knows of the fleet, for deciding about requests.
+"""
+
+from rosemarypath.backend import ENGINE, HeldModel
+from rosemarypath.backends import UNSTABLE_SECONDS, BackEnds
+from rosemarypath.loading import LoadOutcome
+from rosemarypath.messages import LoadAsk
+from rosemarypath.shares import BudgetShares, RetryShares
+
+__all__ = ["FleetView"]
+
+ASK_MARGIN = 0.05  # seconds that an answer between two daemons may take
+UNKNOWN_VERSION = (0, float("-inf"))
+
+
+class FleetView:
+    """
+    Configuration, back ends, budgets and holders of orders as known here.
+
+    Options:
+
+    `settings`
+        The `EdgeSettings`.
+    `peers`, `mesh`
+        The other daemons, and the links to them.
+    `log`
+        The `DecisionLog`.
+    """
+
+    def __init__(self, settings, peers, mesh, log):
+        self._peers = peers
+        self._mesh = mesh
+        self._log = log
+        self._factor = settings.cold_factor
+        self._retries = RetryShares(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window
+        )
+        self._versions = {}
+        self.zone = settings.zone
+        self.table = None
+        self.refuses_new = False
+        self.back_ends = BackEnds()
+        self.budgets = BudgetShares()
+        self.holdings = None
+        self.keepers = {}
+
+    def set_table(self, table):
+        """Put a newer `RoutingTable` in force; return whether it was newer."""
+        known = self.table
+        if known is not None and table.revision <= known.revision:
+            return False
+        self.table = table
+        return True
+
+    def set_versions(self, versions, now):
+        """Take over the newest version of each named adapter."""
+        for name, version in versions.items():
+            known = self._versions.get(name)
+            if known is None or known[0] < version:
+                self._versions[name] = (version, now)
+
+    def version_of(self, name):
+        """Return the newest version of a held name, and when it was learned."""
+        return self._versions.get(name, UNKNOWN_VERSION)
+
+    def newest_version(self, name):
+        """Return the newest version of a held name, 0 where none is announced."""
+        return self._versions.get(name, UNKNOWN_VERSION)[0]
+
+    def usable(self, service):
+        """Return the states of back ends of `service` that take new work."""
+        return self.back_ends.usable(service)
+
+    def engine_plan(self, service):
+        """Return the `EnginePlan` of a service, or ``None``."""
+        if self.table is None:
+            return None
+        plan = self.table.services.get(service)
+        return plan.engine if plan is not None else None
+
+    def cold_sends(self, service, now):
+        """Return the requests a second that this daemon may send to a cold back end."""
+        plan = self.table.services.get(service)
+        if plan is None or plan.cold_rate <= 0.0:
+            return float("inf")
+        return max(1.0, plan.cold_rate * self._factor / self._machine_count())
+
+    def unloadable(self, states, now):
+        """Return the engines whose holder of orders cannot be asked now."""
+        names = set()
+        for state in states:
+            if state.name in self.keepers:
+                continue
+            holder = self.holdings.holder(state.name)
+            if (
+                holder is None
+                or holder.machine == self._peers.own.name
+                or not self._peers.is_heard(holder.machine, now)
+            ):
+                names.add(state.name)
+        return frozenset(names)
+
+    async def ensure(self, state, model, adapter, seconds):
+        """Have an adapter loaded; return a `LoadOutcome`."""
+        keeper = self.keepers.get(state.name)
+        if keeper is not None:
+            return await keeper.ensure(model, adapter, seconds)
+        holder = self.holdings.holder(state.name)
+        peer = self._peers.by_name.get(holder.machine) if holder else None
+        if peer is None:
+            return LoadOutcome(False, "no_holder")
+        ask = LoadAsk(state.name, model, adapter, seconds)
+        identity = peer.machine.identity
+        reply = await self._mesh.ask(identity, ask, seconds + ASK_MARGIN)
+        if reply is None:
+            return LoadOutcome(False, "holder_silent")
+        if reply.is_held:
+            version = max(1, self.newest_version(f"{model}/{adapter}"))
+            state.adapters[f"{model}/{adapter}"] = version
+        return LoadOutcome(reply.is_held, reply.reason)
+
+    def note_missing(self, state, name):
+        """Record that an engine does not hold what it was believed to hold."""
+        keeper = self.keepers.get(state.name)
+        if keeper is not None:
+            keeper.note_missing(name)
+
+    def take_budget(self, customer, tokens, now):
+        """Take tokens; return 0.0 when granted, else the seconds to wait."""
+        return self.budgets.take(customer, tokens, self._peers.share(now), now)
+
+    def give_back_budget(self, customer, tokens):
+        """Return the tokens of a request that did not run."""
+        self.budgets.give_back(customer, tokens)
+
+    def note_request(self, service):
+        """Count a request towards what may be sent again."""
+        self._retries.earn(service)
+
+    def spend_retry(self, service, now):
+        """Take one repeated send; return whether the bound allows it."""
+        return self._retries.spend(service, self._machine_count(), now)
+
+    def set_back_end(self, entry, now):
+        """Take over an entry of the platform's list."""
+        return self.back_ends.set_entry(entry, now)
+
+    def remove_back_end(self, name, health, now):
+        """Record that an entry is gone."""
+        may_be_lapse = now - health.failed_at < UNSTABLE_SECONDS
+        self.back_ends.remove(name, now, may_be_lapse)
+
+    def note_peer_state(self, identity, state, now):
+        """Take over loads, grants and residency from a heartbeat."""
+        name = identity.partition("/")[0]
+        self.budgets.note_peer(identity, state.spent)
+        for back_end, known in self.back_ends.states.items():
+            load = state.loads.get(back_end)
+            if load is None:
+                known.forget_peer(name)
+            else:
+                known.note_peer_load(name, *load, now)
+            held = state.held.get(back_end)
+            if held is not None and back_end not in self.keepers:
+                known.note_holder_word([HeldModel(*entry) for entry in held], now)
+
+    def own_loads(self):
+        """Return running requests, unread prompt tokens and adapters by back end."""
+        loads = {}
+        for name, state in self.back_ends.states.items():
+            own = state.own
+            if own.running:
+                loads[name] = (own.running, own.prompt_tokens, dict(own.adapters))
+        return loads
+
+    def own_held(self):
+        """Return what the engines hold whose orders this daemon gives."""
+        return {
+            name: keeper.held
+            for name, keeper in self.keepers.items()
+            if keeper.is_known
+        }
+
+    def engines(self):
+        """Return the states of all engines that may be given orders."""
+        return [
+            state
+            for state in self.back_ends.states.values()
+            if state.back_end.kind == ENGINE and not state.entry.is_leaving
+        ]
+
+    def _machine_count(self):
+        return len(self._peers.by_name) + 1
--- /dev/null
+++ b/rosemarypath/holding.py
@@ -0,0 +1,179 @@
+"""
+rosemarypath.holding
+~~~~~~~~~~~~~~~~~~~~
+
+Which daemon gives orders to which engine, and with which fencing token.
+
+Each engine has one object in the store that names the holder of its orders; its
+version is the fencing token. A holder stays one through restarts of its machine. Another
+daemon takes over only from a holder that it has not heard for longer than the holder
+relies on an echo, and then waits for a lease before its first order.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from rosemarypath.errors import (
+    ConflictError,
+    NotFoundError,
+    RosemarypathError,
+    StoreUnavailableError,
+)
+from rosemarypath.hashing import rendezvous_order
+
+__all__ = ["HOLDER_KIND", "Holder", "Holdings"]
+
+HOLDER_KIND = "rosemarypath-holders"
+CONFIRMED_SECONDS = 1.5  # how long a read of the store proves that nobody took over
+LEASE_MARGIN = 2.0  # seconds beyond the lease, for orders confirmed just before
+
+
+@dataclass(frozen=True)
+class Holder:
+    """
+    Who gives the orders of one engine.
+
+    `fence` is the fencing token; `before` names the holder before, while its last
+    orders may still be on their way, and is empty afterwards.
+    """
+
+    machine: str
+    fence: int
+    before: str = ""
+
+
+class Holdings:
+    """
+    The holders of all engines, seen from one daemon.
+
+    Options:
+
+    `machine`
+        This daemon's machine name.
+    `peers`
+        The `Peers`.
+    `store`
+        Client of the store.
+    `mirror`
+        The `Mirror` of the holders' kind.
+    `lease`
+        Seconds that a former holder must have been silent.
+    """
+
+    def __init__(self, machine, peers, store, mirror, lease):
+        self._machine = machine
+        self._peers = peers
+        self._store = store
+        self._mirror = mirror
+        self._lease = lease
+        self._usable_from = {}
+        self._confirmed_at = float("-inf")
+
+    def holder(self, engine):
+        """Return the `Holder` of `engine`, or ``None``."""
+        stored = self._mirror.objects.get(engine)
+        if stored is None or not isinstance(stored.spec, dict):
+            return None
+        spec = stored.spec
+        machine = spec.get("machine")
+        if not isinstance(machine, str):
+            return None
+        return Holder(machine, stored.version, spec.get("before") or "")
+
+    def is_mine(self, engine):
+        """Return whether this daemon gives the orders of `engine`."""
+        holder = self.holder(engine)
+        return holder is not None and holder.machine == self._machine
+
+    def fence(self, engine, lease_now):
+        """Return the fencing token for an order right now, or 0 if none may go."""
+        holder = self.holder(engine)
+        if holder is None or holder.machine != self._machine:
+            return 0
+        if holder.before:
+            usable_from = self._usable_from.setdefault(
+                engine, lease_now + self._lease + LEASE_MARGIN
+            )
+            if lease_now < usable_from:
+                return 0
+        if not self._is_confirmed(lease_now):
+            return 0
+        return holder.fence
+
+    async def confirm(self, lease_now):
+        """Read the store if nothing else proves the holdings; log-free and cheap."""
+        if self._is_confirmed(lease_now):
+            return True
+        try:
+            objects, revision = await self._store.list(HOLDER_KIND)
+        except StoreUnavailableError:
+            return False
+        self._mirror.replace(objects, revision)
+        self._confirmed_at = lease_now
+        return True
+
+    def wants(self, engine, now, lease_now):
+        """Return whether this daemon should write itself down as the holder."""
+        if not self._mirror.is_known:
+            return False
+        holder = self.holder(engine)
+        heard = self._peers.heard(now)
+        first = rendezvous_order(engine, heard)[0]
+        if first != self._machine:
+            return False
+        if holder is None:
+            return True
+        if holder.machine == self._machine:
+            return False
+        return self._peers.may_take_over_from(holder.machine, lease_now)
+
+    def wants_settling(self, engine, lease_now):
+        """Return whether the holder before can be struck out."""
+        holder = self.holder(engine)
+        if holder is None or holder.machine != self._machine or not holder.before:
+            return False
+        return self.fence(engine, lease_now) != 0
+
+    async def take(self, engine, lease_now):
+        """Write this daemon down as the holder; return whether that succeeded."""
+        holder = self.holder(engine)
+        try:
+            if holder is None:
+                spec = {"machine": self._machine, "before": ""}
+                stored = await self._store.create(HOLDER_KIND, engine, spec)
+            else:
+                spec = {"machine": self._machine, "before": holder.machine}
+                stored = await self._store.update(
+                    HOLDER_KIND, engine, spec, holder.fence
+                )
+        except (ConflictError, NotFoundError):
+            self._confirmed_at = float("-inf")
+            return False
+        self._usable_from.pop(engine, None)
+        self._mirror.note_own(stored)
+        return True
+
+    async def settle(self, engine):
+        """Strike out the holder before, whose orders are over."""
+        holder = self.holder(engine)
+        spec = {"machine": self._machine, "before": ""}
+        try:
+            stored = await self._store.update(HOLDER_KIND, engine, spec, holder.fence)
+        except (ConflictError, NotFoundError):
+            return
+        self._mirror.note_own(stored)
+
+    async def forget(self, engine):
+        """Remove the object of an engine that is gone for good."""
+        holder = self.holder(engine)
+        if holder is None:
+            return
+        try:
+            await self._store.delete(HOLDER_KIND, engine, holder.fence)
+        except RosemarypathError:
+            await asyncio.sleep(0)
+
+    def _is_confirmed(self, lease_now):
+        if lease_now - self._confirmed_at < CONFIRMED_SECONDS:
+            return True
+        return self._peers.all_vouch(lease_now)
--- /dev/null
+++ b/rosemarypath/httpclient.py
@@ -0,0 +1,369 @@
+"""
+rosemarypath.httpclient
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Outgoing HTTP/1.1 calls whose framing, reuse and end can be judged byte by byte.
+"""
+
+import asyncio
+import socket
+from collections import defaultdict, deque
+from dataclasses import dataclass
+
+import httptools
+
+from rosemarypath.errors import ConnectError, ResponseError
+
+__all__ = ["Connection", "ConnectionPool", "Reply", "encode_request"]
+
+CONNECT_TIMEOUT = 1.0  # seconds; callers give a new connection as long
+KEEPALIVE_IDLE = 1  # seconds without traffic before the kernel probes the peer
+KEEPALIVE_INTERVAL = 1  # seconds between two probes
+KEEPALIVE_PROBES = 2  # unanswered probes that end a connection
+UNACKNOWLEDGED_TIMEOUT = 3000  # ms that sent bytes may stay unacknowledged
+IDLE_SECONDS = 1.5  # reuse bound where the server announces no timeout
+IDLE_SHARE = 0.5  # share of an announced timeout after which reuse would race
+REUSABLE_IDLE = 16  # idle connections kept for one address
+MAX_BODY_BYTES = 64 * 1024 * 1024  # a larger answer is treated as broken
+NO_BODY_STATUSES = frozenset({204, 304})
+
+
+@dataclass(frozen=True)
+class Reply:
+    """A whole answer: status, header pairs (lower-case names) and body."""
+
+    status: int
+    headers: tuple
+    body: bytes
+
+    def header(self, name):
+        """Return the first value of `name` (lower-case bytes), or ``None``."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+def encode_request(method, path, headers, body=b""):
+    """
+    Return the bytes of one request; `headers` are pairs of bytes.
+
+    >>> encode_request(b"GET", b"/", [(b"Host", b"a")])
+    b'GET / HTTP/1.1\\r\\nHost: a\\r\\n\\r\\n'
+    """
+    lines = [b"%b %b HTTP/1.1" % (method, path)]
+    lines += [b"%b: %b" % pair for pair in headers]
+    if body or method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def tune_socket(transport):
+    """Let the kernel notice a peer that went silent."""
+    sock = transport.get_extra_info("socket")
+    for level, option, value in (
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT),
+    ):
+        sock.setsockopt(level, option, value)
+
+
+class Connection(asyncio.Protocol):
+    """
+    One connection to a server, which carries one exchange at a time.
+
+    `address` is ``host:port``. An exchange is `send`, `head`, then `read` until it
+    returns ``b""``. `accepts` is called with the head of each answer and tells
+    whether it belongs to the exchange; others are read and dropped.
+    """
+
+    def __init__(self, address):
+        self._transport = None
+        self._parser = None
+        self._waiter = None
+        self._accepts = None
+        self._pieces = deque()
+        self._headers = []
+        self._head = None
+        self._error = None
+        self._in_exchange = False
+        self._is_skipping = False
+        self._is_framed = False
+        self._is_complete = False
+        self._is_spoiled = False
+        self._idle_limit = IDLE_SECONDS
+        self._method = b""
+        self.address = address
+        self.idle_since = 0.0
+
+    @classmethod
+    async def open(cls, address, timeout=CONNECT_TIMEOUT):
+        """Connect to `address`; raises `ConnectError`."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout):
+                _, connection = await loop.create_connection(
+                    lambda: cls(address), host, int(port)
+                )
+        except (OSError, TimeoutError, ValueError) as error:
+            raise ConnectError(
+                f"{address}: {error!r}", "check that it runs and can be reached"
+            ) from error
+        return connection
+
+    @property
+    def is_open(self):
+        """Return whether bytes can still be sent."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    @property
+    def is_reusable(self):
+        """Return whether the last exchange left nothing behind."""
+        return (
+            self.is_open
+            and self._is_complete
+            and self._is_framed
+            and not self._is_spoiled
+            and self._transport.get_write_buffer_size() == 0
+        )
+
+    def is_fresh_enough(self, now):
+        """Return whether the server surely keeps the idle connection at `now`."""
+        return self.is_open and now - self.idle_since < self._idle_limit
+
+    def send(self, data, method=b"GET", accepts=None):
+        """Start an exchange by writing `data`, one whole request."""
+        self._parser = httptools.HttpResponseParser(self)
+        self._accepts = accepts
+        self._method = method
+        self._pieces.clear()
+        self._head = None
+        self._in_exchange = True
+        self._is_complete = False
+        self._is_framed = False
+        if not self.is_open:
+            raise self._broken("closed before the request was sent")
+        self._transport.write(data)
+
+    async def head(self):
+        """Return the answer's `Reply` without its body; raises `ResponseError`."""
+        while self._head is None:
+            if self._error is not None:
+                raise self._error
+            await self._wait()
+        return self._head
+
+    async def read(self):
+        """Return the next bytes of the body, ``b""`` at its end."""
+        while not self._pieces:
+            if self._is_complete:
+                return b""
+            if self._error is not None:
+                raise self._error
+            await self._wait()
+        data = b"".join(self._pieces)
+        self._pieces.clear()
+        return data
+
+    async def read_all(self):
+        """Return the whole body; raises `ResponseError` when it is cut short."""
+        parts = []
+        size = 0
+        while data := await self.read():
+            parts.append(data)
+            size += len(data)
+            if size > MAX_BODY_BYTES:
+                raise self._broken(f"a body of over {MAX_BODY_BYTES} bytes")
+        return b"".join(parts)
+
+    def abort(self):
+        """Drop the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    # Called by the event loop.
+
+    def connection_made(self, transport):
+        self._transport = transport
+        tune_socket(transport)
+
+    def data_received(self, data):
+        if not self._in_exchange or self._is_complete:
+            self._is_spoiled = True
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._is_spoiled = True
+            if not self._is_complete:
+                self._fail(f"not HTTP ({error!r})")
+            self.abort()
+        self._wake()
+
+    def eof_received(self):
+        is_unframed = self._head is not None and not self._is_framed
+        if is_unframed and not self._is_complete and self._error is None:
+            self._is_complete = True
+            self._is_spoiled = True
+            self._wake()
+        return False
+
+    def connection_lost(self, exc):
+        if not self._is_complete:
+            self._fail(f"connection lost ({exc!r})")
+        self._wake()
+
+    # Called by the parser.
+
+    def on_message_begin(self):
+        if self._is_complete:
+            self._is_spoiled = True
+        self._headers = []
+
+    def on_header(self, name, value):
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self):
+        if self._is_complete:
+            return
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        head = Reply(status, tuple(self._headers), b"")
+        names = {name for name, _ in self._headers}
+        self._is_framed = (
+            b"content-length" in names
+            or b"transfer-encoding" in names
+            or status in NO_BODY_STATUSES
+        )
+        self._is_skipping = self._accepts is not None and not self._accepts(head)
+        if self._is_skipping:
+            self._is_spoiled = True
+            return
+        self._note_reuse(head)
+        self._head = head
+
+    def on_body(self, data):
+        if not self._is_skipping and not self._is_complete:
+            self._pieces.append(data)
+
+    def on_message_complete(self):
+        if self._is_skipping:
+            self._is_skipping = False
+            return
+        if self._head is not None and not self._is_complete:
+            if self._is_framed:
+                self._is_complete = True
+
+    def _note_reuse(self, head):
+        if not self._parser.should_keep_alive():
+            self._is_spoiled = True
+        announced = head.header(b"keep-alive") or b""
+        _, _, seconds = announced.partition(b"timeout=")
+        digits = seconds.split(b",")[0].strip()
+        if digits.isdigit():
+            self._idle_limit = int(digits) * IDLE_SHARE
+
+    def _broken(self, message):
+        return ResponseError(f"{self.address}: {message}", "try another back end")
+
+    def _fail(self, message):
+        if self._error is None:
+            self._error = self._broken(message)
+
+    def _wake(self):
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def _wait(self):
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+
+class ConnectionPool:
+    """Idle connections by address, newest first."""
+
+    def __init__(self):
+        self._idle = defaultdict(list)
+        self._in_use = set()
+
+    async def acquire(self, address, now, is_fresh=False, timeout=CONNECT_TIMEOUT):
+        """
+        Return an idle connection to `address`, or a new one; raises `ConnectError`.
+
+        With `is_fresh` the connection is always new.
+        """
+        connection = None if is_fresh else self._take_idle(address, now)
+        if connection is None:
+            connection = await Connection.open(address, timeout)
+        self._in_use.add(connection)
+        return connection
+
+    def release(self, connection, now):
+        """Keep `connection` for the next exchange if it is fit, else drop it."""
+        self._in_use.discard(connection)
+        idle = self._idle[connection.address]
+        if connection.is_reusable and len(idle) < REUSABLE_IDLE:
+            connection.idle_since = now
+            idle.append(connection)
+        else:
+            connection.abort()
+
+    def drop_stale(self, now):
+        """Close the idle connections that may not be reused any more."""
+        for address, idle in list(self._idle.items()):
+            kept = [c for c in idle if c.is_fresh_enough(now)]
+            for connection in idle:
+                if connection not in kept:
+                    connection.abort()
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+
+    def close(self):
+        """Drop all connections."""
+        for idle in self._idle.values():
+            for connection in idle:
+                connection.abort()
+        for connection in self._in_use:
+            connection.abort()
+        self._idle.clear()
+        self._in_use.clear()
+
+    async def call(self, address, method, path, headers, body, timeout, now):
+        """
+        Return the whole `Reply` to one call.
+
+        Raises `ConnectError` when nothing was sent and `ResponseError` when the
+        answer is missing, late (after `timeout` seconds) or broken.
+        """
+        connection = await self.acquire(address, now, timeout=timeout)
+        data = encode_request(method, path, headers, body)
+        try:
+            async with asyncio.timeout(timeout):
+                connection.send(data, method)
+                head = await connection.head()
+                content = await connection.read_all()
+        except TimeoutError as error:
+            raise ResponseError(
+                f"{address}: no answer within {timeout} s", "try again later"
+            ) from error
+        finally:
+            self.release(connection, now)
+        return Reply(head.status, head.headers, content)
+
+    def _take_idle(self, address, now):
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_fresh_enough(now) and connection.is_reusable:
+                return connection
+            connection.abort()
+        return None
--- /dev/null
+++ b/rosemarypath/listener.py
@@ -0,0 +1,337 @@
+"""
+rosemarypath.listener
+~~~~~~~~~~~~~~~~~~~~~
+
+Listens for HTTP/1.1 requests; one task serves each connection, in order.
+"""
+
+import asyncio
+import socket
+from collections import deque
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+import httptools
+
+__all__ = ["CallerConnection", "IncomingRequest", "Listener"]
+
+BACKLOG = 4096  # connections that wait to be accepted after a restart
+MOST_PIPELINED = 16  # requests read ahead on one connection
+MOST_UNSENT = 1024 * 1024  # bytes that a slow reader may leave unsent
+LINGER_SECONDS = 0.2  # time to read a refused body before the connection closes
+BAD_REQUEST = 400
+REQUEST_TIMEOUT = 408
+CONTENT_TOO_LARGE = 413
+HEADERS_TOO_LARGE = 431
+CHUNK_END = b"0\r\n\r\n"
+
+
+@dataclass
+class IncomingRequest:
+    """
+    One request, read whole.
+
+    `path` is as sent, with its query; header names are lower-case. `status` is set
+    when the request is refused for its form, and the connection ends after it.
+    """
+
+    method: bytes = b""
+    path: bytes = b""
+    headers: list = field(default_factory=list)
+    body: bytes = b""
+    keeps_alive: bool = True
+    has_chunks: bool = True
+    arrived: float = 0.0
+    status: int = 0
+
+    def header(self, name):
+        """Return the first value of `name` (lower-case bytes), or ``b""``."""
+        return next((value for key, value in self.headers if key == name), b"")
+
+
+class CallerConnection(asyncio.Protocol):
+    """
+    A connection from a caller.
+
+    `listener` is the `Listener` that accepted it.
+    """
+
+    def __init__(self, listener):
+        self._listener = listener
+        self._loop = asyncio.get_running_loop()
+        self._transport = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._requests = deque()
+        self._arrival = asyncio.Event()
+        self._request = None
+        self._body = []
+        self._body_size = 0
+        self._header_size = 0
+        self._timer = None
+        self._task = None
+        self._is_refused = False
+        self._is_chunked = False
+        self.is_busy = False
+        self.has_answered = False
+
+    @property
+    def is_open(self):
+        """Return whether the caller is still there."""
+        return not self._transport.is_closing()
+
+    # Called by the event loop.
+
+    def connection_made(self, transport):
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._listener.connections.add(self)
+        self._set_timer(self._listener.limits.idle_timeout)
+        self._task = self._loop.create_task(self._serve())
+
+    def data_received(self, data):
+        if self._is_refused:
+            return
+        if self._request is None and not self._requests and not self.is_busy:
+            self._set_timer(self._listener.limits.header_timeout)
+        if self._header_size >= 0:
+            self._header_size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(BAD_REQUEST)
+        except httptools.HttpParserError:
+            self._refuse(BAD_REQUEST)
+        if self._header_size > self._listener.limits.header_bytes:
+            self._refuse(HEADERS_TOO_LARGE)
+
+    def eof_received(self):
+        return False
+
+    def connection_lost(self, exc):
+        self._listener.connections.discard(self)
+        self._cancel_timer()
+        self._task.cancel()
+
+    # Called by the parser.
+
+    def on_message_begin(self):
+        self._request = IncomingRequest(arrived=self._loop.time())
+        self._body = []
+        self._body_size = 0
+
+    def on_url(self, url):
+        self._request.path += url
+
+    def on_header(self, name, value):
+        self._request.headers.append((name.lower(), value))
+
+    def on_headers_complete(self):
+        self._header_size = -1
+        self._set_timer(self._listener.limits.idle_timeout)
+        request = self._request
+        request.method = self._parser.get_method()
+        request.keeps_alive = self._parser.should_keep_alive()
+        request.has_chunks = self._parser.get_http_version() == "1.1"
+        if request.header(b"expect").lower() == b"100-continue":
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data):
+        self._body_size += len(data)
+        if self._body_size > self._listener.limits.body_bytes:
+            self._refuse(CONTENT_TOO_LARGE)
+        else:
+            self._body.append(data)
+
+    def on_message_complete(self):
+        if self._is_refused:
+            return
+        request = self._request
+        request.body = b"".join(self._body)
+        self._request = None
+        self._body = []
+        self._header_size = 0
+        self._queue(request)
+
+    # Called by the one that answers.
+
+    def write_head(self, status, headers, has_body_length=None, closes=False):
+        """
+        Begin an answer.
+
+        `has_body_length` is the length of the body; ``None`` sends it in chunks, or
+        until the end of the connection where the caller knows no chunks.
+        """
+        self.has_answered = True
+        request = self._current
+        closes = closes or not request.keeps_alive or self._listener.is_stopping
+        lines = [b"HTTP/1.1 %d %b" % (status, _reason(status))]
+        lines += [b"%b: %b" % pair for pair in headers]
+        self._is_chunked = False
+        if has_body_length is not None:
+            lines.append(b"Content-Length: %d" % has_body_length)
+        elif request.has_chunks:
+            self._is_chunked = True
+            lines.append(b"Transfer-Encoding: chunked")
+        else:
+            closes = True
+        if closes:
+            lines.append(b"Connection: close")
+            request.keeps_alive = False
+        self._pending = b"\r\n".join(lines) + b"\r\n\r\n"
+
+    def write(self, data):
+        """Send a part of the body, together with a head that waits."""
+        if self._is_chunked and data:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        if self._pending:
+            data = self._pending + data
+            self._pending = b""
+        self._transport.write(data)
+        if self._transport.get_write_buffer_size() > MOST_UNSENT:
+            self.abort()
+
+    def end(self):
+        """End the answer as complete."""
+        data = self._pending + (CHUNK_END if self._is_chunked else b"")
+        self._pending = b""
+        if data:
+            self._transport.write(data)
+
+    def answer(self, status, headers, body=b"", closes=False):
+        """Send a whole answer."""
+        self.write_head(status, headers, len(body), closes)
+        self.write(body if self._current.method != b"HEAD" else b"")
+        self.end()
+
+    def abort(self):
+        """Break off, so that an answer does not look complete."""
+        self._transport.abort()
+
+    def close(self):
+        """Close after what was written has been sent."""
+        self._transport.close()
+
+    def close_if_idle(self):
+        """Close unless a request is being read or answered."""
+        if not self.is_busy and self._request is None and not self._requests:
+            self._transport.close()
+
+    # Inside.
+
+    _pending = b""
+    _current = None
+
+    def _queue(self, request):
+        self._cancel_timer()
+        self._requests.append(request)
+        self._arrival.set()
+        if len(self._requests) > MOST_PIPELINED:
+            self._transport.pause_reading()
+
+    def _refuse(self, status):
+        """Answer a request that cannot be read, then close."""
+        if self._is_refused:
+            return
+        self._is_refused = True
+        request = self._request or IncomingRequest(arrived=self._loop.time())
+        request.status = status
+        request.keeps_alive = False
+        self._queue(request)
+
+    async def _serve(self):
+        while True:
+            while not self._requests:
+                self._arrival.clear()
+                await self._arrival.wait()
+            request = self._requests.popleft()
+            if len(self._requests) == MOST_PIPELINED:
+                self._transport.resume_reading()
+            self._current = request
+            self.is_busy = True
+            self.has_answered = False
+            await self._listener.handle(request, self)
+            self.is_busy = False
+            if not request.keeps_alive or request.status:
+                await self._close_after(request)
+                return
+            if not self._requests and self._request is None:
+                if self._listener.is_stopping:
+                    self.close()
+                    return
+                self._set_timer(self._listener.limits.idle_timeout)
+
+    async def _close_after(self, request):
+        """Close, first reading what is still under way of a refused request."""
+        if request.status:
+            await asyncio.sleep(LINGER_SECONDS)
+        self.close()
+
+    def _set_timer(self, seconds):
+        self._cancel_timer()
+        self._timer = self._loop.call_later(seconds, self._on_timer)
+
+    def _cancel_timer(self):
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _on_timer(self):
+        self._timer = None
+        if self.is_busy or self._requests:
+            return
+        if self._request is not None:
+            self._refuse(REQUEST_TIMEOUT)
+        else:
+            self.close()
+
+
+class Listener:
+    """
+    Accepts connections at `address` and answers each request by
+    ``await handle(request, connection)``.
+    """
+
+    def __init__(self, address, handle, limits):
+        self._address = address
+        self._server = None
+        self.handle = handle
+        self.limits = limits
+        self.connections = set()
+        self.is_stopping = False
+
+    async def start(self):
+        """Listen; raises `OSError` when the address cannot be used."""
+        host, _, port = self._address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CallerConnection(self),
+            host,
+            int(port),
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
+
+    def close_idle(self):
+        """Close the connections on which nothing is under way."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    @property
+    def is_idle(self):
+        """Return whether no request is being answered."""
+        return not any(connection.is_busy for connection in self.connections)
+
+    def close(self):
+        """Stop accepting and drop what is left."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.abort()
+
+
+def _reason(status):
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b"Status"
--- /dev/null
+++ b/rosemarypath/loading.py
@@ -0,0 +1,363 @@
+"""
+rosemarypath.loading
+~~~~~~~~~~~~~~~~~~~~
+
+Loads and evicts the adapters of one engine, on behalf of the holder of its orders.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from rosemarypath.backend import HeldModel
+from rosemarypath.clock import lease_now, now
+from rosemarypath.places import Places
+
+__all__ = ["EngineKeeper", "LoadOutcome"]
+
+CHECK_SECONDS = 0.03  # between two questions whether a load is complete
+FIRST_CHECK_SECONDS = 0.04  # an adapter held lately arrives in a tenth of a load
+LATE_CHECK_SECONDS = 0.24  # a load from the weight store takes as long
+LOAD_LOST_SECONDS = 3.0  # a load that takes longer is looked up in a report
+HOUSEKEEPING_SECONDS = 0.5  # between two looks at versions and missing models
+REFRESH_PAUSE = 0.25  # seconds; reports lag by as much
+UNSURE_SECONDS = 15.0  # an order without an answer may be carried out so late
+RECENT_SECONDS = 8.0  # an adapter used since is brought to its newest version
+
+
+@dataclass(frozen=True)
+class LoadOutcome:
+    """Whether an adapter is held now; `reason` says why not."""
+
+    is_held: bool
+    reason: str = ""
+
+
+@dataclass
+class _Wanted:
+    """An adapter that requests wait for."""
+
+    model: str
+    adapter: str
+    since: float
+    waiters: list
+
+    @property
+    def name(self):
+        return f"{self.model}/{self.adapter}"
+
+
+class EngineKeeper:
+    """
+    Keeps one engine supplied.
+
+    Options:
+
+    `state`
+        The engine's `BackEndState`.
+    `calls`
+        Sends orders and asks for reports.
+    `holdings`
+        The `Holdings`, which say whether an order may go.
+    `plan_of`
+        Function that returns the `EnginePlan` of the engine's service.
+    `version_of`
+        Function that returns the newest version of a named adapter, 0 where unknown.
+    `log`
+        The `DecisionLog`.
+    """
+
+    def __init__(self, state, calls, holdings, plan_of, version_of, log):
+        self._calls = calls
+        self._holdings = holdings
+        self._plan_of = plan_of
+        self._version_of = version_of
+        self._log = log
+        self._wanted = {}
+        self._checks = {}
+        self._wakened = asyncio.Event()
+        self._orders = None
+        self._expected = None
+        self._places = Places(0)
+        self._models = {}
+        self._model_ordered_at = float("-inf")
+        self._born = state.entry.born
+        self.state = state
+
+    @property
+    def held(self):
+        """Return model, version and adapters with versions, for the other daemons."""
+        held = {model: {} for model in self._models}
+        for name, version in self._places.held.items():
+            model, _, adapter = name.partition("/")
+            if name not in self._places.leaving and model in held:
+                held[model][adapter] = version
+        return [(model, self._models[model], held[model]) for model in held]
+
+    @property
+    def is_known(self):
+        """Return whether the engine's state was read since this daemon holds it."""
+        return self._orders is not None
+
+    async def ensure(self, model, adapter, seconds):
+        """Wait up to `seconds` until the adapter is held; return a `LoadOutcome`."""
+        name = f"{model}/{adapter}"
+        if self._is_current(name):
+            return LoadOutcome(True)
+        future = asyncio.get_running_loop().create_future()
+        wanted = self._wanted.get(name)
+        if wanted is None:
+            wanted = self._wanted[name] = _Wanted(model, adapter, now(), [])
+        wanted.waiters.append(future)
+        self._wakened.set()
+        try:
+            async with asyncio.timeout(seconds):
+                return await future
+        except TimeoutError:
+            return LoadOutcome(False, "load_timeout")
+        finally:
+            if future in wanted.waiters:
+                wanted.waiters.remove(future)
+            if not wanted.waiters and name not in self._places.coming:
+                self._wanted.pop(name, None)
+
+    async def run(self):
+        """Work until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(self._pause()):
+                    await self._wakened.wait()
+            except TimeoutError:
+                pass
+            self._wakened.clear()
+            await self._work()
+
+    def forget(self):
+        """Drop what is known, because the engine restarted or another held it."""
+        self._orders = None
+        self._places.coming.clear()
+        self._places.leaving.clear()
+
+    def note_missing(self, name):
+        """Record that the engine says it lacks `name`, which was believed held."""
+        if self._places.held.pop(name, None) is not None:
+            self._orders = None
+            self._tell_state()
+
+    def _pause(self):
+        if self._checks:
+            return max(0.002, min(self._checks.values()) - now())
+        return HOUSEKEEPING_SECONDS
+
+    def _is_current(self, name):
+        version = self._places.held.get(name)
+        if version is None or name in self._places.leaving:
+            return False
+        return self.is_known and version >= self._version_of(name)
+
+    async def _work(self):
+        plan = self._plan_of()
+        if plan is None:
+            return
+        self._places.limit = plan.adapter_places
+        if self.state.entry.born != self._born:
+            self._born = self.state.entry.born
+            self.forget()
+        fence = await self._fence()
+        if not fence:
+            self._fail_all("not_confirmed")
+            return
+        if self._orders is None and not await self._refresh():
+            self._fail_all("no_report")
+            return
+        if not await self._keep_models(plan, fence):
+            return
+        await self._check_coming(fence)
+        await self._order_loads(fence)
+        await self._renew_versions(fence)
+
+    async def _fence(self):
+        started = lease_now()
+        if not await self._holdings.confirm(started):
+            return 0
+        return self._holdings.fence(self.state.name, lease_now())
+
+    async def _refresh(self):
+        """Take over a report; return whether one came."""
+        report = await self._calls.report(self.state.back_end)
+        if report is None:
+            return False
+        self._orders = report.orders
+        self._models = {model.name: model.version for model in report.models}
+        held = {
+            f"{model.name}/{adapter}": version
+            for model in report.models
+            for adapter, version in model.adapters.items()
+        }
+        self._places.note_report(held)
+        coming = {text.partition("@")[0] for text in report.coming}
+        for name in list(self._places.coming):
+            if name not in coming:
+                self._drop_coming(name)
+        for name in coming:
+            self._places.coming.setdefault(name, now())
+            self._checks.setdefault(name, now() + CHECK_SECONDS)
+        self._tell_state()
+        self._log.write(
+            "orders",
+            "report",
+            engine=self.state.name,
+            orders=report.orders,
+            held=len(held),
+            coming=len(coming),
+        )
+        return True
+
+    async def _keep_models(self, plan, fence):
+        """Load a model where none is held; return whether one is there."""
+        if self._models:
+            return True
+        if not plan.models:
+            return False
+        if now() - self._model_ordered_at < HOUSEKEEPING_SECONDS:
+            return False
+        self._model_ordered_at = now()
+        model = next(iter(plan.models))
+        result = await self._calls.load(
+            self.state.back_end, model, "", fence, self._orders
+        )
+        self._note_order("load_model", model, result)
+        await asyncio.sleep(REFRESH_PAUSE)
+        await self._refresh()
+        return bool(self._models)
+
+    async def _check_coming(self, fence):
+        """Ask by a repeated order which loads are complete."""
+        for name, at in list(self._checks.items()):
+            if now() < at:
+                continue
+            model, _, adapter = name.partition("/")
+            result = await self._calls.load(
+                self.state.back_end, model, adapter, fence, None
+            )
+            self._note_order("check", name, result)
+            if result.holds_already:
+                self._arrive(name)
+            elif now() - self._places.coming.get(name, now()) > LOAD_LOST_SECONDS:
+                self._drop_coming(name)
+                self._orders = None
+            else:
+                self._checks[name] = now() + CHECK_SECONDS
+
+    def _arrive(self, name):
+        self._drop_coming(name)
+        version = max(self._version_of(name), self._places.held.get(name, 0), 1)
+        self._places.held[name] = version
+        self._tell_state()
+        self._resolve(name, LoadOutcome(True))
+
+    def _drop_coming(self, name):
+        self._places.coming.pop(name, None)
+        self._checks.pop(name, None)
+
+    async def _order_loads(self, fence):
+        order = sorted(self._wanted.values(), key=lambda w: -len(w.waiters))
+        for wanted in order:
+            name = wanted.name
+            if self._is_current(name):
+                self._resolve(name, LoadOutcome(True))
+                continue
+            if name in self._places.coming:
+                continue
+            if not self._places.can_order:
+                return
+            is_replacement = name in self._places.held
+            if not is_replacement and not self._places.has_room:
+                if not await self._evict(fence):
+                    self._resolve(name, LoadOutcome(False, "no_place"))
+                    continue
+            await self._load(wanted.model, wanted.adapter, fence)
+
+    async def _load(self, model, adapter, fence):
+        name = f"{model}/{adapter}"
+        result = await self._calls.load(
+            self.state.back_end, model, adapter, fence, self._orders
+        )
+        self._note_order("load", name, result)
+        if result.holds_already:
+            self._arrive(name)
+        elif result.is_accepted:
+            self._places.coming[name] = now()
+            self._checks[name] = now() + FIRST_CHECK_SECONDS
+            if self._places.held.get(name) is not None:
+                del self._places.held[name]
+                self._tell_state()
+        else:
+            self._resolve(name, LoadOutcome(False, f"order_{result.status}"))
+            self._orders = None
+
+    async def _evict(self, fence):
+        """Unload the adapter that is missed least; return whether one went."""
+        at = now()
+        name = self._places.victim(
+            lambda n: self.state.is_in_use(n, at),
+            self.state.last_used,
+            self._version_of,
+        )
+        if name is None:
+            return False
+        model, _, adapter = name.partition("/")
+        self._places.leaving.add(name)
+        self._tell_state()
+        result = await self._calls.unload(
+            self.state.back_end, model, adapter, fence, self._orders
+        )
+        self._note_order("unload", name, result)
+        if result.holds_already:
+            self._places.leaving.discard(name)
+            self._places.held.pop(name, None)
+            return True
+        if not result.is_accepted:
+            self._orders = None
+        return False
+
+    async def _renew_versions(self, fence):
+        """Bring outdated adapters that nobody uses now, but lately, up to date."""
+        at = now()
+        for name, version in list(self._places.held.items()):
+            if version >= self._version_of(name) or name in self._places.leaving:
+                continue
+            is_recent = at - self.state.last_used.get(name, -1e9) < RECENT_SECONDS
+            if not is_recent or self.state.is_in_use(name, at):
+                continue
+            if self._places.can_order and name not in self._places.coming:
+                model, _, adapter = name.partition("/")
+                await self._load(model, adapter, fence)
+
+    def _note_order(self, verb, name, result):
+        if result.is_accepted and self._orders is not None:
+            self._orders += 1
+        self._log.write(
+            "orders",
+            verb,
+            engine=self.state.name,
+            adapter=name,
+            status=result.status,
+            orders=self._orders,
+        )
+
+    def _resolve(self, name, outcome):
+        wanted = self._wanted.pop(name, None)
+        if wanted is None:
+            return
+        for waiter in wanted.waiters:
+            if not waiter.done():
+                waiter.set_result(outcome)
+
+    def _fail_all(self, reason):
+        for name in list(self._wanted):
+            self._resolve(name, LoadOutcome(False, reason))
+
+    def _tell_state(self):
+        """Put what is held into the engine's state, for choices made here."""
+        models = tuple(HeldModel(*entry) for entry in self.held)
+        self.state.note_holder_word(models, now())
--- a/rosemarypath/machine.py
+++ b/rosemarypath/machine.py
@@ -5,9 +5,11 @@
 Entry machines, as recorded in the roster.
 """
 
+import secrets
+
 import msgspec
 
-__all__ = ["DRAINING", "UP", "Machine"]
+__all__ = ["DRAINING", "UP", "Machine", "new_incarnation"]
 
 UP = "up"
 DRAINING = "draining"
@@ -47,3 +49,8 @@
     def identity(self):
         """Return ``name/incarnation``, unique over all starts of all daemons."""
         return f"{self.name}/{self.incarnation}"
+
+
+def new_incarnation():
+    """Return a random identifier for one start of a daemon."""
+    return secrets.token_hex(4)
--- a/rosemarypath/membership.py
+++ b/rosemarypath/membership.py
@@ -14,7 +14,7 @@
 from rosemarypath.errors import ConflictError, NotFoundError, StoreUnavailableError
 from rosemarypath.fencing import Fencing
 from rosemarypath.log import get_logger
-from rosemarypath.machine import DRAINING, Machine
+from rosemarypath.machine import DRAINING, Machine, new_incarnation
 from rosemarypath.messages import Heartbeat, HeartbeatAck, Testimony
 from rosemarypath.ownership import Ownership
 from rosemarypath.roster import Roster, choose_witnesses
@@ -35,11 +35,6 @@
 _log = get_logger("membership")
 
 
-def new_incarnation():
-    """Return a random identifier for one start of a daemon."""
-    return secrets.token_hex(4)
-
-
 class Membership:
     """
     This daemon among the others.
--- a/rosemarypath/messages.py
+++ b/rosemarypath/messages.py
@@ -25,8 +25,13 @@
     "HeartbeatAck",
     "Heartbeat",
     "HeldSeat",
+    "LoadAsk",
+    "LoadReply",
+    "MirrorAsk",
+    "MirrorSnapshot",
     "News",
     "NewsAsk",
+    "PeerState",
     "PermitAsk",
     "PermitReply",
     "PermitReturn",
@@ -273,6 +278,60 @@
     owned: bool
 
 
+class PeerState(Message):
+    """
+    A daemon's heartbeat to one peer, with its share of what all must know.
+
+    `number` counts its heartbeats, `heard` is the highest number heard from the
+    receiver. `revisions` maps kinds of the store to the revision of its copy,
+    `machines` names the machines that it knows, `spent` maps customers to the tokens
+    it has admitted since its start, `loads` maps back ends to running requests, prompt
+    tokens not yet read and running requests by adapter. `held` maps the back ends
+    whose orders it gives to what they hold: model, version, adapters with versions.
+    """
+
+    number: int
+    heard: int
+    is_leaving: bool
+    is_ready: bool
+    revisions: dict[str, int]
+    machines: list[str]
+    spent: dict[str, int]
+    loads: dict[str, tuple[int, int, dict[str, int]]]
+    held: dict[str, list[tuple[str, int, dict[str, int]]]]
+
+
+class MirrorAsk(Message):
+    """Asks for a copy of one kind of the store that is newer than `revision`."""
+
+    kind: str
+    revision: int
+
+
+class MirrorSnapshot(Message):
+    """All objects of one kind at a revision: name, version and content of each."""
+
+    kind: str
+    revision: int
+    objects: list[tuple[str, int, object]]
+
+
+class LoadAsk(Message):
+    """Asks the holder of a back end's orders to load an adapter within `seconds`."""
+
+    back_end: str
+    model: str
+    adapter: str
+    seconds: float
+
+
+class LoadReply(Message):
+    """Whether the adapter is held now; `reason` says why not."""
+
+    is_held: bool
+    reason: str = ""
+
+
 class PermitReturn(Message):
     """Ends a load permit."""
 
@@ -303,6 +362,11 @@
     | PermitAsk
     | PermitReply
     | PermitReturn
+    | PeerState
+    | MirrorAsk
+    | MirrorSnapshot
+    | LoadAsk
+    | LoadReply
 )
 
 
--- /dev/null
+++ b/rosemarypath/mirror.py
@@ -0,0 +1,165 @@
+"""
+rosemarypath.mirror
+~~~~~~~~~~~~~~~~~~~
+
+Copies of the store's kinds, kept by watches and by what peers have seen.
+"""
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+from rosemarypath.errors import (
+    NotFoundError,
+    StoreUnavailableError,
+    VersionGoneError,
+)
+
+__all__ = ["Mirror", "Snapshot", "StoreHealth", "Watcher"]
+
+WATCH_SECONDS = 20.0  # a waiting watch is priced as one call, however long
+GATHER_SECONDS = 0.1  # pause between two watches that collects a burst of events
+RETRY_FIRST = 0.1  # seconds before the first new try after a failure
+RETRY_MOST = 1.0  # seconds between tries while the store stays away
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """All objects of one kind at one revision."""
+
+    kind: str
+    revision: int
+    objects: tuple
+
+
+class Mirror:
+    """
+    The objects of one kind as known here.
+
+    `on_change` is called with the sets of changed and of removed names.
+    """
+
+    def __init__(self, kind, on_change):
+        self._on_change = on_change
+        self.kind = kind
+        self.revision = 0
+        self.objects = {}
+        self.is_known = False
+
+    def replace(self, objects, revision):
+        """Take over a list of all objects, unless a newer state is known."""
+        if self.is_known and revision <= self.revision:
+            return
+        fresh = {stored.name: stored for stored in objects}
+        changed = {
+            name
+            for name, stored in fresh.items()
+            if name not in self.objects or self.objects[name].version != stored.version
+        }
+        removed = self.objects.keys() - fresh.keys()
+        is_first = not self.is_known
+        self.objects = fresh
+        self.revision = revision
+        self.is_known = True
+        if changed or removed or is_first:
+            self._on_change(changed, removed)
+
+    def apply(self, events, revision):
+        """Take over the events of a watch that reaches up to `revision`."""
+        if revision <= self.revision:
+            return
+        changed = set()
+        removed = set()
+        for stored, is_removed in events:
+            if is_removed:
+                if self.objects.pop(stored.name, None) is not None:
+                    removed.add(stored.name)
+                changed.discard(stored.name)
+            else:
+                self.objects[stored.name] = stored
+                changed.add(stored.name)
+                removed.discard(stored.name)
+        self.revision = revision
+        if changed or removed:
+            self._on_change(changed, removed)
+
+    def note_own(self, stored):
+        """Take over an object that this daemon has just written."""
+        known = self.objects.get(stored.name)
+        if known is None or known.version < stored.version:
+            self.objects[stored.name] = stored
+            self._on_change({stored.name}, set())
+
+    def snapshot(self):
+        """Return the `Snapshot` to give to a peer."""
+        return Snapshot(self.kind, self.revision, tuple(self.objects.values()))
+
+
+class StoreHealth:
+    """When the store last answered this daemon, and when it last failed."""
+
+    def __init__(self, on_change=None):
+        self._on_change = on_change or (lambda is_up, reason: None)
+        self.answered_at = float("-inf")
+        self.failed_at = float("-inf")
+        self.is_up = False
+
+    def note_answer(self, now):
+        """Record an answer that was no failure."""
+        self.answered_at = now
+        if not self.is_up:
+            self.is_up = True
+            self._on_change(True, "")
+
+    def note_failure(self, now, reason):
+        """Record a call without a usable answer."""
+        self.failed_at = now
+        if self.is_up:
+            self.is_up = False
+            self._on_change(False, reason)
+
+
+class Watcher:
+    """
+    Keeps a `Mirror` by listing its kind and watching it.
+
+    `only` names the single object to read where the kind holds others.
+    """
+
+    def __init__(self, store, mirror, health, gather=GATHER_SECONDS):
+        self._store = store
+        self._mirror = mirror
+        self._health = health
+        self._gather = gather
+        self._needs_list = True
+
+    async def run(self):
+        """Watch until cancelled."""
+        pause = RETRY_FIRST
+        while True:
+            try:
+                await self._step()
+                pause = RETRY_FIRST
+            except VersionGoneError:
+                self._health.note_answer(time.monotonic())
+                self._needs_list = True
+            except (StoreUnavailableError, NotFoundError) as error:
+                self._health.note_failure(time.monotonic(), error.message)
+                await asyncio.sleep(pause)
+                pause = min(RETRY_MOST, pause * 2)
+
+    async def _step(self):
+        mirror = self._mirror
+        if self._needs_list:
+            objects, revision = await self._store.list(mirror.kind)
+            self._health.note_answer(time.monotonic())
+            mirror.replace(objects, revision)
+            self._needs_list = False
+            return
+        events, revision = await self._store.watch(
+            mirror.kind, mirror.revision, WATCH_SECONDS
+        )
+        self._health.note_answer(time.monotonic())
+        mirror.apply(events, revision)
+        if events:
+            await asyncio.sleep(self._gather)
--- /dev/null
+++ b/rosemarypath/peers.py
@@ -0,0 +1,157 @@
+"""
+rosemarypath.peers
+~~~~~~~~~~~~~~~~~~
+
+The other daemons: who is there, what each last said, and whom callers may use.
+"""
+
+from dataclasses import dataclass, field
+
+from rosemarypath.machine import Machine
+
+__all__ = ["Peer", "Peers"]
+
+SILENT_SECONDS = 1.2  # six heartbeats; a silent daemon is not named to callers
+VOUCH_SECONDS = 2.0  # an echo vouches for the time since its heartbeat was sent
+TAKEOVER_SECONDS = 2.6  # longer than a vouch, so that no two daemons hold orders
+
+
+@dataclass
+class Peer:
+    """
+    One other daemon.
+
+    `heard_at` is by the clock for timeouts, `vouched_at` (when the newest heartbeat
+    that it echoed was sent) and `lease_heard_at` by the clock for leases.
+    """
+
+    machine: Machine
+    known_at: float
+    lease_known_at: float
+    heard_at: float = float("-inf")
+    lease_heard_at: float = float("-inf")
+    vouched_at: float = float("-inf")
+    number: int = 0
+    is_leaving: bool = False
+    is_ready: bool = False
+    spent: dict = field(default_factory=dict)
+    revisions: dict = field(default_factory=dict)
+
+
+class Peers:
+    """
+    What this daemon, `own`, knows of the others.
+
+    `own` is its `Machine`; `now` and `lease_now` are the times of its start.
+    """
+
+    def __init__(self, own, now, lease_now):
+        self._sent = {}
+        self._started_at = now
+        self._lease_started_at = lease_now
+        self.own = own
+        self.number = 0
+        self.by_name = {}
+        self.registered = frozenset()
+        self.is_known = False
+
+    def set_machines(self, machines, now, lease_now):
+        """Take over the registered `Machine` records; return the new or changed."""
+        fresh = {m.name: m for m in machines if m.name != self.own.name}
+        changed = []
+        for name, machine in fresh.items():
+            peer = self.by_name.get(name)
+            if peer is None or peer.machine.incarnation != machine.incarnation:
+                self.by_name[name] = Peer(machine, now, lease_now)
+                changed.append(machine)
+        for name in self.by_name.keys() - fresh.keys():
+            del self.by_name[name]
+        self.registered = frozenset(fresh)
+        self.is_known = True
+        return changed
+
+    def next_number(self, lease_now):
+        """Return the number of the next heartbeat, which is sent at `lease_now`."""
+        self.number += 1
+        self._sent[self.number] = lease_now
+        for number in [n for n in self._sent if lease_now - self._sent[n] > 10.0]:
+            del self._sent[number]
+        return self.number
+
+    def note_state(self, identity, state, now, lease_now):
+        """Take over a heartbeat; return the `Peer`, or ``None`` for unknown ones."""
+        name, _, incarnation = identity.partition("/")
+        peer = self.by_name.get(name)
+        if peer is None or peer.machine.incarnation != incarnation:
+            return None
+        if state.number <= peer.number:
+            return None
+        peer.number = state.number
+        peer.heard_at = now
+        peer.lease_heard_at = lease_now
+        peer.is_leaving = state.is_leaving
+        peer.is_ready = state.is_ready
+        peer.spent = state.spent
+        peer.revisions = state.revisions
+        peer.vouched_at = max(
+            peer.vouched_at, self._sent.get(state.heard, float("-inf"))
+        )
+        return peer
+
+    def is_heard(self, name, now):
+        """Return whether the machine `name` spoke lately; true for this one."""
+        if name == self.own.name:
+            return True
+        peer = self.by_name.get(name)
+        return peer is not None and now - peer.heard_at < SILENT_SECONDS
+
+    def heard(self, now):
+        """Return the names of the machines that spoke lately, with this one."""
+        names = [n for n, p in self.by_name.items() if now - p.heard_at < SILENT_SECONDS]
+        return [self.own.name, *names]
+
+    def all_vouch(self, lease_now):
+        """
+        Return whether every other registered machine has lately heard this daemon,
+        and so takes nothing over from it.
+        """
+        if not self.is_known:
+            return False
+        for name in self.registered:
+            peer = self.by_name.get(name)
+            if peer is None or lease_now - peer.vouched_at > VOUCH_SECONDS:
+                return False
+        return True
+
+    def may_take_over_from(self, name, lease_now):
+        """Return whether the machine `name` was silent long enough to be replaced."""
+        if lease_now - self._lease_started_at < TAKEOVER_SECONDS:
+            return False
+        peer = self.by_name.get(name)
+        if peer is None:
+            return True
+        latest = max(peer.lease_heard_at, peer.lease_known_at)
+        return lease_now - latest > TAKEOVER_SECONDS
+
+    def share(self, now):
+        """Return the part of all machines that this daemon hears, itself included."""
+        total = len(self.by_name) + 1
+        return len(self.heard(now)) / total
+
+    def named_to_callers(self, is_own_ready, now):
+        """
+        Return the `Machine` records that callers may use.
+
+        When nobody is known to be ready, all are returned, this daemon first.
+        """
+        ready = [self.own] if is_own_ready else []
+        ready += [
+            peer.machine
+            for peer in self.by_name.values()
+            if peer.is_ready
+            and not peer.is_leaving
+            and now - peer.heard_at < SILENT_SECONDS
+        ]
+        if ready:
+            return ready
+        return [self.own, *(peer.machine for peer in self.by_name.values())]
--- /dev/null
+++ b/rosemarypath/places.py
@@ -0,0 +1,76 @@
+"""
+rosemarypath.places
+~~~~~~~~~~~~~~~~~~~
+
+What one engine holds and is about to hold, and which adapter makes way.
+
+The load answered here: loads of rare adapters that arrive faster than places become
+free, orders whose answer was lost, and streams that still use an adapter.
+"""
+
+__all__ = ["Places"]
+
+MOST_COMING = 4  # adapters that may be on their way to one engine at once
+
+
+class Places:
+    """
+    The adapter places of one engine; `limit` is how many there are.
+
+    `held` maps names to versions, `coming` maps names to when their load was ordered,
+    `unsure` holds names whose order had no answer and may still be carried out.
+    """
+
+    def __init__(self, limit):
+        self.limit = limit
+        self.held = {}
+        self.coming = {}
+        self.unsure = {}
+        self.leaving = set()
+
+    @property
+    def taken(self):
+        """Return how many places are or may become taken."""
+        names = self.held.keys() | self.coming.keys() | self.unsure.keys()
+        return len(names | self.leaving)
+
+    @property
+    def can_order(self):
+        """Return whether another load may be ordered now."""
+        return len(self.coming) < MOST_COMING
+
+    @property
+    def has_room(self):
+        """Return whether a place is free."""
+        return self.taken < self.limit
+
+    def victim(self, is_in_use, last_used, wanted_version):
+        """
+        Return the held adapter that makes way, or ``None``.
+
+        `is_in_use` tells whether requests use an adapter, `last_used` maps names to
+        times, `wanted_version` returns the newest version of a name. Outdated ones
+        go first, then the one that was used the longest time ago.
+        """
+        free = [
+            name
+            for name in self.held
+            if name not in self.coming
+            and name not in self.unsure
+            and name not in self.leaving
+            and not is_in_use(name)
+        ]
+        if not free:
+            return None
+        return min(
+            free,
+            key=lambda name: (
+                self.held[name] >= wanted_version(name),
+                last_used.get(name, float("-inf")),
+            ),
+        )
+
+    def note_report(self, held):
+        """Take over what the engine says that it holds."""
+        self.held = dict(held)
+        self.leaving &= self.held.keys()
--- /dev/null
+++ b/rosemarypath/platform/dialect.py
@@ -0,0 +1,48 @@
+"""
+rosemarypath.platform.dialect
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Everything that the daemon calls on this platform, in one object.
+"""
+
+import msgspec
+
+from rosemarypath.platform import configuration, engine, requests, servers, store
+
+__all__ = ["PlatformDialect"]
+
+METRICS_PORT = 9464  # as in the deploy file
+
+
+class PlatformDialect:
+    """Names, formats and calls of the users' platform."""
+
+    configuration_kind = configuration.CONFIGURATION_KIND
+    configuration_name = configuration.CONFIGURATION_NAME
+    evacuation_kind = configuration.EVACUATION_KIND
+    version_kind = configuration.VERSION_KIND
+    server_kind = servers.SERVER_KIND
+    readiness_path = b"/api/ready"
+    directory_path = b"/api/resolve"
+
+    store = store.PlatformStore
+    engine_calls = engine.EngineCalls
+    decode_configuration = staticmethod(configuration.decode_configuration)
+    decode_version = staticmethod(configuration.decode_version)
+    decode_server = staticmethod(servers.decode_server)
+    decode_demand = staticmethod(requests.decode_demand)
+    forwarded_headers = staticmethod(requests.forwarded_headers)
+    answer_head = staticmethod(requests.answer_head)
+    refusal_headers = staticmethod(requests.refusal_headers)
+
+    @staticmethod
+    def directory_answer(addresses, ttl):
+        """Return headers and body that name callers' `addresses` for `ttl` seconds."""
+        body = msgspec.json.encode({"addresses": addresses[:64], "ttlS": ttl})
+        return [(b"Content-Type", b"application/json")], body
+
+    @staticmethod
+    def metrics_address(settings):
+        """Return ``host:port`` where metrics are served."""
+        host = settings.peers_address.rpartition(":")[0]
+        return f"{host}:{METRICS_PORT}"
--- /dev/null
+++ b/rosemarypath/platform/engine.py
@@ -0,0 +1,160 @@
+"""
+rosemarypath.platform.engine
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Orders to model replicas, their reports and their health.
+"""
+
+import time
+from dataclasses import dataclass
+
+import msgspec
+
+from rosemarypath.errors import ConnectError, ResponseError
+from rosemarypath.platform.servers import decode_models
+
+__all__ = ["EngineCalls", "EngineReport", "OrderResult"]
+
+ORDER_PATH = b"/api/order"
+REPORT_PATH = b"/api/report"
+ORDER_TIMEOUT = 0.6  # seconds; a replica answers an order within a few ms
+REPORT_TIMEOUT = 0.6  # seconds
+ACCEPTED = 202
+HOLDS_ALREADY = 200
+LOAD = "load"
+UNLOAD = "unload"
+
+
+@dataclass(frozen=True)
+class OrderResult:
+    """
+    What became of an order.
+
+    `is_known` is false when no answer came: it may be carried out later.
+    """
+
+    status: int = 0
+
+    @property
+    def is_known(self):
+        """Return whether the back end answered."""
+        return self.status != 0
+
+    @property
+    def is_accepted(self):
+        """Return whether the order is being carried out."""
+        return self.status == ACCEPTED
+
+    @property
+    def holds_already(self):
+        """Return whether what was ordered is so now."""
+        return self.status == HOLDS_ALREADY
+
+    @property
+    def is_conflict(self):
+        """Return whether another order came between."""
+        return self.status == 409
+
+
+@dataclass(frozen=True)
+class EngineReport:
+    """
+    State of an engine some hundred ms ago.
+
+    `orders` counts the orders it accepted since its start, `coming` are the adapters
+    on their way, `is_busy` tells that a model is loaded or unloaded now.
+    """
+
+    models: tuple
+    coming: tuple
+    orders: int
+    is_busy: bool
+    running: int
+    waiting: int
+    kv_used: int
+    kv_total: int
+    born: int = 0
+
+
+class EngineCalls:
+    """Calls to engines by the `ConnectionPool` `pool`, in the name of `machine`."""
+
+    def __init__(self, pool, machine):
+        self._pool = pool
+        self._machine = machine
+
+    async def load(self, back_end, model, adapter, fence, expected):
+        """Order a model, or one of its adapters, in its newest version."""
+        return await self._order(LOAD, back_end, model, adapter, fence, expected)
+
+    async def unload(self, back_end, model, adapter, fence, expected):
+        """Order a model or an adapter away."""
+        return await self._order(UNLOAD, back_end, model, adapter, fence, expected)
+
+    async def report(self, back_end):
+        """Return the `EngineReport`, or ``None`` when no readable one came."""
+        headers = [(b"Host", back_end.address.encode())]
+        headers.append((b"X-Expect-Instance", back_end.name.encode()))
+        try:
+            reply = await self._pool.call(
+                back_end.address,
+                b"GET",
+                REPORT_PATH,
+                headers,
+                b"",
+                REPORT_TIMEOUT,
+                time.monotonic(),
+            )
+        except (ConnectError, ResponseError):
+            return None
+        return decode_report(reply.body) if reply.status == 200 else None
+
+    async def _order(self, operation, back_end, model, adapter, fence, expected):
+        document = {
+            "operation": operation,
+            "model": model,
+            "holder": self._machine,
+            "fencingToken": fence,
+        }
+        if adapter:
+            document["adapter"] = adapter
+        if expected is not None:
+            document["expected"] = expected
+        headers = [
+            (b"Host", back_end.address.encode()),
+            (b"Content-Type", b"application/json"),
+            (b"X-Expect-Instance", back_end.name.encode()),
+        ]
+        body = msgspec.json.encode(document)
+        try:
+            reply = await self._pool.call(
+                back_end.address,
+                b"POST",
+                ORDER_PATH,
+                headers,
+                body,
+                ORDER_TIMEOUT,
+                time.monotonic(),
+            )
+        except (ConnectError, ResponseError):
+            return OrderResult()
+        return OrderResult(reply.status)
+
+
+def decode_report(body):
+    """Return the `EngineReport` in `body`, or ``None`` when it cannot be read."""
+    try:
+        document = msgspec.json.decode(body)
+        return EngineReport(
+            models=decode_models(document["models"]),
+            coming=tuple(document.get("coming") or ()),
+            orders=int(document["sequence"]),
+            is_busy=bool(document.get("busy", False)),
+            running=int(document.get("running", 0)),
+            waiting=int(document.get("waiting", 0)),
+            kv_used=int(document.get("kvUsed", 0)),
+            kv_total=int(document.get("kvTotal", 0)),
+            born=int(document.get("born") or 0),
+        )
+    except (msgspec.DecodeError, KeyError, TypeError, ValueError, AttributeError):
+        return None
--- /dev/null
+++ b/rosemarypath/platform/store.py
@@ -0,0 +1,148 @@
+"""
+rosemarypath.platform.store
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Calls to the platform's object store; each is counted by kind and verb.
+"""
+
+import time
+from collections import Counter
+from urllib.parse import quote
+
+import msgspec
+
+from rosemarypath.errors import (
+    ConflictError,
+    ConnectError,
+    NotFoundError,
+    ResponseError,
+    StoreUnavailableError,
+    VersionGoneError,
+)
+from rosemarypath.stored import StoredObject
+
+__all__ = ["PlatformStore"]
+
+CALL_TIMEOUT = 1.0  # seconds; a healthy store answers in milliseconds
+WATCH_MARGIN = 1.5  # seconds that a watch may be late before it counts as silent
+JSON_HEADERS = [(b"Content-Type", b"application/json")]
+REMEDY = "check that the platform's store is up and reachable"
+
+
+def decode_object(document):
+    """Return the `StoredObject` in one item of a list, event or answer."""
+    metadata = document["metadata"]
+    # "revision" is the store's counter at the object's last change.
+    return StoredObject(
+        metadata["name"], int(metadata["revision"]), document.get("spec")
+    )
+
+
+class PlatformStore:
+    """
+    Client of the store at `address` (``host:port``), by the `ConnectionPool` `pool`.
+    """
+
+    def __init__(self, address, pool):
+        self._address = address
+        self._pool = pool
+        self._host = [(b"Host", address.encode())]
+        self.calls = Counter()
+
+    async def list(self, kind):
+        """Return all objects of `kind` and the store's revision at the first page."""
+        objects = []
+        after = ""
+        revision = None
+        while True:
+            query = f"?after={quote(after, safe='')}" if after else ""
+            page = await self._read(kind, f"/{kind}{query}")
+            if revision is None:
+                revision = int(page["storeRevision"])
+            objects += [decode_object(item) for item in page["items"]]
+            if not page.get("hasMore") or not page["items"]:
+                return objects, revision
+            after = objects[-1].name
+
+    async def get(self, kind, name):
+        """Return one `StoredObject`; raises `NotFoundError`."""
+        return decode_object(await self._read(kind, f"/{kind}/{quote(name, safe='')}"))
+
+    async def watch(self, kind, revision, seconds):
+        """
+        Wait up to `seconds` for changes of `kind` after `revision`.
+
+        Returns pairs of object and whether it was removed, and the new revision.
+        Raises `VersionGoneError` when that history is gone.
+        """
+        path = f"/{kind}?watch={revision}&waitMs={int(seconds * 1000)}"
+        page = await self._read(kind, path, "watch", seconds + WATCH_MARGIN)
+        events = [
+            (decode_object(event["object"]), bool(event["removed"]))
+            for event in page["events"]
+        ]
+        return events, int(page["storeRevision"])
+
+    async def create(self, kind, name, spec):
+        """Create an object and return it; raises `ConflictError` if there is one."""
+        body = {"metadata": {"name": name}, "spec": spec}
+        return await self._write(b"POST", kind, f"/{kind}", body)
+
+    async def update(self, kind, name, spec, version=0):
+        """
+        Replace an object and return it; raises `ConflictError` and `NotFoundError`.
+
+        A `version` other than 0 must be the object's.
+        """
+        metadata = {"name": name}
+        if version:
+            metadata["revision"] = version
+        body = {"metadata": metadata, "spec": spec}
+        path = f"/{kind}/{quote(name, safe='')}"
+        return await self._write(b"PUT", kind, path, body)
+
+    async def delete(self, kind, name, version):
+        """Remove an object if it still is at `version`."""
+        path = f"/{kind}/{quote(name, safe='')}?revision={version}"
+        await self._call(b"DELETE", kind, "delete", path, b"", CALL_TIMEOUT)
+
+    async def _read(self, kind, path, verb="read", timeout=CALL_TIMEOUT):
+        return await self._call(b"GET", kind, verb, path, b"", timeout)
+
+    async def _write(self, method, kind, path, document):
+        body = msgspec.json.encode(document)
+        answer = await self._call(method, kind, "write", path, body, CALL_TIMEOUT)
+        try:
+            return decode_object(answer)
+        except (KeyError, TypeError, ValueError) as error:
+            raise self._unavailable(f"unreadable answer ({error!r})") from error
+
+    async def _call(self, method, kind, verb, path, body, timeout):
+        self.calls[(kind, verb)] += 1
+        target = f"/api/objects{path}".encode()
+        headers = self._host + JSON_HEADERS if body else self._host
+        try:
+            reply = await self._pool.call(
+                self._address, method, target, headers, body, timeout, time.monotonic()
+            )
+        except (ConnectError, ResponseError) as error:
+            raise self._unavailable(f"{verb} of {kind}: {error.message}") from error
+        return self._judge(reply, kind, verb)
+
+    def _judge(self, reply, kind, verb):
+        if reply.status == 404:
+            raise NotFoundError(f"{kind}: no such object", "create it first")
+        if reply.status == 409:
+            raise ConflictError(f"{kind} was changed by another", "read it and retry")
+        if reply.status == 410:
+            raise VersionGoneError(f"history of {kind} is gone", "list it anew")
+        if reply.status >= 300:
+            raise self._unavailable(f"{verb} of {kind} answered {reply.status}")
+        try:
+            return msgspec.json.decode(reply.body) if reply.body else {}
+        except msgspec.DecodeError as error:
+            raise self._unavailable(f"{verb} of {kind}: {error}") from error
+
+    @staticmethod
+    def _unavailable(message):
+        return StoreUnavailableError(f"platform's store: {message}", REMEDY)
--- /dev/null
+++ b/rosemarypath/routing.py
@@ -0,0 +1,202 @@
+"""
+rosemarypath.routing
+~~~~~~~~~~~~~~~~~~~~
+
+Routes by host and path, customers by key, services and limits of one configuration.
+"""
+
+from dataclasses import dataclass, field
+
+import msgspec
+import xxhash
+
+from rosemarypath.customer import hash_key
+
+__all__ = [
+    "EnginePlan",
+    "IngressLimits",
+    "PathRoute",
+    "RoutingTable",
+    "SAFE",
+    "STREAM",
+    "ServicePlan",
+    "UNSAFE",
+]
+
+SAFE = "safe"
+UNSAFE = "unsafe"
+STREAM = "stream"
+
+
+class PathRoute(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    Where the requests of one host below one path prefix go.
+
+    Options:
+
+    `targets`
+        Pairs of service name and weight.
+    `kind`
+        ``safe``, ``unsafe`` or ``stream``.
+    `timeout`
+        Seconds after which a request gets its final answer.
+    `objective`
+        Seconds to the first byte that count as on time.
+    `gap_objective`
+        Seconds between two events that count as on time; 0 for none.
+    `priority`
+        0 is the most urgent.
+    `attempts`
+        Back ends that may run one request.
+    `is_open`
+        Whether requests need no key.
+    `can_resume`
+        Whether a stream may go on at another back end.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    targets: tuple
+    kind: str
+    timeout: float
+    objective: float
+    gap_objective: float = 0.0
+    priority: int = 5
+    attempts: int = 1
+    is_open: bool = False
+    can_resume: bool = False
+
+    @property
+    def is_idempotent(self):
+        """Return whether a request may run more than once."""
+        return self.kind == SAFE or (self.kind == STREAM and self.can_resume)
+
+    def service_for(self, request):
+        """Return the service that `request` goes to, the same at each call."""
+        if len(self.targets) == 1:
+            return self.targets[0][0]
+        total = sum(weight for _, weight in self.targets)
+        point = xxhash.xxh32_intdigest(request) / 2**32 * total
+        for service, weight in self.targets:
+            point -= weight
+            if point < 0:
+                return service
+        return self.targets[-1][0]
+
+
+class EnginePlan(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    What the engines of a service hold and how they load it.
+
+    `models` are the names of base models with their size in MB, `adapter_places` and
+    `weights_mb` bound what one engine holds, `kv_tokens` is its memory in tokens,
+    `loads_per_second` what the weight store allows over all engines.
+    """
+
+    slots: int = 1
+    kv_tokens: int = 0
+    models: dict = {}
+    adapter_mb: dict = {}
+    weights_mb: float = 0.0
+    adapter_places: int = 0
+    loads_per_second: float = 0.0
+
+
+class ServicePlan(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    One service.
+
+    `connections` bounds the connections that all callers have to one back end;
+    `cold_rate` is what a cold back end takes, in requests a second (0: no bound).
+    """
+
+    name: str
+    health_path: str = "/health"
+    connections: int = 0
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
+    engine: EnginePlan | None = None
+
+
+class IngressLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds on what callers send: bytes, and seconds that they may take."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
+
+
+class Budget(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    What a customer may use over all machines.
+
+    `rate` and `burst` are in tokens (or requests, where `counts_tokens` is false);
+    a rate of 0 means no bound. A request that does not say its size counts as
+    `plain_tokens`.
+    """
+
+    rate: float = 0.0
+    burst: float = 0.0
+    counts_tokens: bool = False
+    plain_tokens: int = 1
+
+
+class Contract(msgspec.Struct, frozen=True, kw_only=True):
+    """A customer's name, budget and priority (``None``: the route's holds)."""
+
+    name: str
+    budget: Budget = Budget()
+    priority: int | None = None
+
+
+@dataclass(frozen=True)
+class RoutingTable:
+    """
+    One version of the configuration, made for looking up.
+
+    `customers` maps the hash of each key to its `Contract`.
+    """
+
+    version: int
+    revision: int
+    routes: dict = field(default_factory=dict)
+    services: dict = field(default_factory=dict)
+    customers: dict = field(default_factory=dict)
+    needs_keys: bool = False
+    limits: IngressLimits = IngressLimits()
+
+    @classmethod
+    def from_parts(cls, version, revision, routes, services, customers, limits):
+        """
+        Build a table.
+
+        `routes` and `services` are iterables, `customers` maps key hashes to
+        contracts or is ``None`` where the configuration knows no customers.
+        """
+        by_host = {}
+        for route in routes:
+            by_host.setdefault(route.host, []).append(route)
+        for entries in by_host.values():
+            entries.sort(key=lambda route: len(route.prefix), reverse=True)
+        return cls(
+            version,
+            revision,
+            by_host,
+            {service.name: service for service in services},
+            customers or {},
+            customers is not None,
+            limits,
+        )
+
+    def find_route(self, host, path):
+        """Return the `PathRoute` with the longest prefix of `path`, or ``None``."""
+        for route in self.routes.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def find_customer(self, key):
+        """Return the `Contract` that holds `key`, or ``None``."""
+        return self.customers.get(hash_key(key))
--- /dev/null
+++ b/rosemarypath/shares.py
@@ -0,0 +1,129 @@
+"""
+rosemarypath.shares
+~~~~~~~~~~~~~~~~~~~
+
+Customers' budgets and the retry budget, kept over all daemons without an owner.
+
+The load answered here is a customer that asks for several times its rate at daemons
+that learn of each other's grants some tenths of a second late, or not at all.
+"""
+
+from dataclasses import dataclass
+
+__all__ = ["BudgetShares", "RetryShares"]
+
+START_SECONDS = 0.5  # seconds of a customer's rate that a fresh daemon may grant
+RETRY_MARGIN = 0.85  # part of the retry bound that is used
+RETRY_BURST = 0.5  # part of the slack that may be spent at once; the rest flows in
+
+
+@dataclass
+class _Level:
+    """A bucket of tokens as of a time, and what was granted here."""
+
+    tokens: float
+    at: float
+    spent: int = 0
+
+
+class BudgetShares:
+    """
+    Token buckets that count what all daemons granted.
+
+    Each daemon tells how much it granted since its start, and each keeps a bucket of
+    the whole rate from which it takes its own grants and those of the others as it
+    learns of them. A daemon that hears only a part of the others fills its buckets
+    with that part of the rate.
+    """
+
+    def __init__(self):
+        self._levels = {}
+        self._peer_spent = {}
+
+    @property
+    def spent(self):
+        """Return the tokens granted here since the start, by customer."""
+        return {name: level.spent for name, level in self._levels.items() if level.spent}
+
+    def take(self, customer, tokens, share, now):
+        """
+        Take `tokens`; return 0.0 when granted, else the seconds to wait.
+
+        `customer` is a `Contract`, `share` the part of all daemons that are heard.
+        """
+        level = self._refilled(customer, share, now)
+        if customer.budget.rate <= 0.0:
+            level.spent += tokens
+            return 0.0
+        # A request larger than the burst passes on a full bucket.
+        needed = min(tokens, customer.budget.burst * share)
+        if level.tokens < needed:
+            return (needed - level.tokens) / max(1.0, customer.budget.rate * share)
+        level.tokens -= tokens
+        level.spent += tokens
+        return 0.0
+
+    def give_back(self, customer, tokens):
+        """Return tokens of a request that did not run."""
+        level = self._levels.get(customer.name)
+        if level is not None:
+            level.tokens += tokens
+            level.spent -= tokens
+
+    def note_peer(self, identity, spent):
+        """Take what a peer says that it granted since its start."""
+        known = self._peer_spent.get(identity)
+        self._peer_spent[identity] = spent
+        if known is None:
+            return
+        for name, tokens in spent.items():
+            level = self._levels.get(name)
+            if level is not None:
+                level.tokens -= tokens - known.get(name, 0)
+
+    def forget_peer(self, identity):
+        """Drop the counts of a peer that is gone."""
+        self._peer_spent.pop(identity, None)
+
+    def _refilled(self, customer, share, now):
+        budget = customer.budget
+        level = self._levels.get(customer.name)
+        if level is None:
+            start = min(budget.burst, budget.rate * START_SECONDS)
+            level = self._levels[customer.name] = _Level(start * share, now)
+        gained = max(0.0, now - level.at) * budget.rate * share
+        level.tokens = min(budget.burst * share, level.tokens + gained)
+        level.at = now
+        return level
+
+
+class RetryShares:
+    """
+    This daemon's part of the bound on repeated sends to each service.
+
+    `ratio` and `slack` are the bound over all daemons, per window of `window` seconds.
+    """
+
+    def __init__(self, ratio, slack, window):
+        self._ratio = ratio * RETRY_MARGIN
+        self._slack = slack * RETRY_MARGIN
+        self._window = window
+        self._levels = {}
+
+    def earn(self, service):
+        """Record a request for `service`."""
+        if service in self._levels:
+            self._levels[service][0] += self._ratio
+
+    def spend(self, service, machines, now):
+        """Take one repeated send of `machines` daemons' bound; return whether it was there."""
+        part = self._slack / machines
+        most = max(1.0, part * RETRY_BURST)
+        level = self._levels.setdefault(service, [most, now])
+        refill = (now - level[1]) * part * (1.0 - RETRY_BURST) / self._window
+        level[0] = min(most, level[0] + refill)
+        level[1] = now
+        if level[0] < 1.0:
+            return False
+        level[0] -= 1.0
+        return True
--- a/rosemarypath/store.py
+++ b/rosemarypath/store.py
@@ -18,6 +18,7 @@
     StoreUnavailableError,
     VersionGoneError,
 )
+from rosemarypath.stored import StoredObject
 
 __all__ = ["StoreClient", "StoredObject"]
 
@@ -28,20 +29,6 @@
 WRITER = "writer"
 
 
-class StoredObject(msgspec.Struct, frozen=True):
-    """
-    An object as held by the platform.
-
-    `version` is the resource version, `spec` the content, `writer` the token of
-    the write that made this version.
-    """
-
-    name: str
-    version: int
-    spec: object
-    writer: str = ""
-
-
 def _stored(document):
     metadata = document["metadata"]
     return StoredObject(
