Count only new orders; refresh an engine's state after its report's lag

Cause: repeated orders that an engine answers 202 do not raise its order count, so the next load was refused (409) and a stale report replaced what was known, which let one engine be over-filled (LIMIT).

--- a/rosemarypath/loading.py
+++ b/rosemarypath/loading.py
@@ -19,7 +19,7 @@
 LATE_CHECK_SECONDS = 0.24  # a load from the weight store takes as long
 LOAD_LOST_SECONDS = 3.0  # a load that takes longer is looked up in a report
 HOUSEKEEPING_SECONDS = 0.5  # between two looks at versions and missing models
-REFRESH_PAUSE = 0.25  # seconds; reports lag by as much
+REFRESH_PAUSE = 0.4  # seconds; reports lag by half as much
 UNSURE_SECONDS = 15.0  # an order without an answer may be carried out so late
 RECENT_SECONDS = 8.0  # an adapter used since is brought to its newest version
 
@@ -80,6 +80,7 @@
         self._places = Places(0)
         self._models = {}
         self._model_ordered_at = float("-inf")
+        self._ordered_at = float("-inf")
         self._born = state.entry.born
         self.state = state
 
@@ -182,7 +183,9 @@
         return self._holdings.fence(self.state.name, lease_now())
 
     async def _refresh(self):
-        """Take over a report; return whether one came."""
+        """Take over a report that is newer than the last order; whether one came."""
+        if now() - self._ordered_at < REFRESH_PAUSE:
+            await asyncio.sleep(self._ordered_at + REFRESH_PAUSE - now())
         report = await self._calls.report(self.state.back_end)
         if report is None:
             return False
@@ -226,7 +229,6 @@
             self.state.back_end, model, "", fence, self._orders
         )
         self._note_order("load_model", model, result)
-        await asyncio.sleep(REFRESH_PAUSE)
         await self._refresh()
         return bool(self._models)
 
@@ -334,7 +336,10 @@
                 await self._load(model, adapter, fence)
 
     def _note_order(self, verb, name, result):
-        if result.is_accepted and self._orders is not None:
+        self._ordered_at = now()
+        has_counted = result.is_accepted and verb in ("load", "unload")
+        has_counted = has_counted or (verb == "unload" and result.holds_already)
+        if has_counted and self._orders is not None:
             self._orders += 1
         self._log.write(
             "orders",
