--- a/rosemarypath/httpclient.py
+++ b/rosemarypath/httpclient.py
@@ -344,7 +344,9 @@
         Raises `ConnectError` when nothing was sent and `ResponseError` when the
         answer is missing, late (after `timeout` seconds) or broken.
         """
-        connection = await self.acquire(address, now, timeout=timeout)
+        connection = await self.acquire(
+            address, now, timeout=min(timeout, CONNECT_TIMEOUT)
+        )
         data = encode_request(method, path, headers, body)
         try:
             async with asyncio.timeout(timeout):
--- a/rosemarypath/loading.py
+++ b/rosemarypath/loading.py
@@ -80,7 +80,8 @@
         self._places = Places(0)
         self._models = {}
         self._model_ordered_at = float("-inf")
-        self._ordered_at = float("-inf")
+        # The process before this one may have given orders until just now.
+        self._ordered_at = now()
         self._born = state.entry.born
         self.state = state
 
@@ -172,9 +173,11 @@
             return
         if not await self._keep_models(plan, fence):
             return
-        await self._check_coming(fence)
-        await self._order_loads(fence)
-        await self._renew_versions(fence)
+        for step in (self._check_coming, self._order_loads, self._renew_versions):
+            await step(fence)
+            if self._orders is None:
+                self._wakened.set()
+                return
 
     async def _fence(self):
         started = lease_now()
@@ -239,11 +242,14 @@
                 continue
             model, _, adapter = name.partition("/")
             result = await self._calls.load(
-                self.state.back_end, model, adapter, fence, None
+                self.state.back_end, model, adapter, fence, self._orders
             )
             self._note_order("check", name, result)
             if result.holds_already:
                 self._arrive(name)
+            elif result.is_conflict:
+                self._orders = None
+                return
             elif now() - self._places.coming.get(name, now()) > LOAD_LOST_SECONDS:
                 self._drop_coming(name)
                 self._orders = None
