--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -221,7 +221,7 @@
         except ValueError as error:
             self._log.write("configuration", "error", detail=str(error))
             return
-        if not self._fleet.set_table(table):
+        if not self._fleet.set_table(table, now()):
             return
         self._callers.limits = table.limits
         self._log.write(
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -48,12 +48,24 @@
         self.holdings = None
         self.keepers = {}
 
-    def set_table(self, table):
+    def set_table(self, table, now):
         """Put a newer `RoutingTable` in force; return whether it was newer."""
         known = self.table
         if known is not None and table.revision <= known.revision:
             return False
         self.table = table
+        contracts = set(table.customers.values())
+        self.budgets.open(contracts, self._peers.share(now), now)
+        for contract in contracts:
+            budget = contract.budget
+            self._log.write(
+                "budgets",
+                "contract",
+                customer=contract.name,
+                rate=budget.rate,
+                burst=budget.burst,
+                version=table.version,
+            )
         return True
 
     def set_versions(self, versions, now):
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -162,6 +162,7 @@
             route=route.name,
             customer=customer.name if customer else "",
             adapter=demand.adapter,
+            tokens=demand.tokens,
             version=self._fleet.table.version,
         )
         return course
--- a/rosemarypath/loading.py
+++ b/rosemarypath/loading.py
@@ -260,6 +260,8 @@
         self._drop_coming(name)
         version = max(self._version_of(name), self._places.held.get(name, 0), 1)
         self._places.held[name] = version
+        # Those that waited for it are about to use it, so it does not make way.
+        self.state.last_used[name] = now()
         self._tell_state()
         self._resolve(name, LoadOutcome(True))
 
@@ -271,6 +273,8 @@
         order = sorted(self._wanted.values(), key=lambda w: -len(w.waiters))
         for wanted in order:
             name = wanted.name
+            if self._orders is None:
+                return
             if self._is_current(name):
                 self._resolve(name, LoadOutcome(True))
                 continue
@@ -326,6 +330,7 @@
             return True
         if not result.is_accepted:
             self._orders = None
+            self._places.leaving.discard(name)
         return False
 
     async def _renew_versions(self, fence):
--- a/rosemarypath/shares.py
+++ b/rosemarypath/shares.py
@@ -45,6 +45,11 @@
         """Return the tokens granted here since the start, by customer."""
         return {name: level.spent for name, level in self._levels.items() if level.spent}
 
+    def open(self, customers, share, now):
+        """Begin to fill the buckets of `customers`, before their first request."""
+        for customer in customers:
+            self._refilled(customer, share, now)
+
     def take(self, customer, tokens, share, now):
         """
         Take `tokens`; return 0.0 when granted, else the seconds to wait.
