--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -105,11 +105,12 @@
         """Return the engines whose holder of orders cannot be asked now."""
         names = set()
         for state in states:
-            if state.name in self.keepers:
-                continue
             holder = self.holdings.holder(state.name)
+            if state.name in self.keepers and holder and not holder.before:
+                continue
             if (
                 holder is None
+                or holder.before
                 or holder.machine == self._peers.own.name
                 or not self._peers.is_heard(holder.machine, now)
             ):
