Do not trust an echo of a peer that knows newer holders of orders

Cause: a holder that was cut off from its peers and the store lost its engine to another; when only its links came back, its peers echoed it again and it went on giving orders beside the new holder. Ruled out: the waiting time of the new holder. Own writes are no longer undone by older events (test_mirror).

--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -61,9 +61,11 @@
     `dialect`
         What translates between the product and the platform: see
         `rosemarypath.platform.dialect`.
+    `log`
+        The `DecisionLog` (default: one on standard output).
     """
 
-    def __init__(self, settings, dialect):
+    def __init__(self, settings, dialect, log=None):
         self._settings = settings
         self._dialect = dialect
         self._tasks = set()
@@ -80,7 +82,7 @@
             callers_address=settings.callers_address,
             peers_address=settings.peers_address,
         )
-        self._log = DecisionLog(settings.machine)
+        self._log = log or DecisionLog(settings.machine)
         self._metrics = EdgeMetrics()
         self._pool = ConnectionPool()
         self._store = dialect.store(settings.store_address, self._pool)
@@ -119,18 +121,24 @@
             and not self._stopping.is_set()
         )
 
+    @property
+    def ordered_engines(self):
+        """Return the names of the engines whose orders this daemon gives now."""
+        return sorted(self._fleet.own_held())
+
     async def run(self):
         """Serve until SIGTERM, then stop without cutting a request."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        self._log.write("daemon", "start", incarnation=self._own.incarnation)
-        await self._start()
+        await self.start()
         await self._stopping.wait()
-        await self._stop()
+        await self.stop()
 
-    async def _start(self):
+    async def start(self):
+        """Listen and begin to serve; raises `OSError` for unusable addresses."""
+        self._log.write("daemon", "start", incarnation=self._own.incarnation)
         for listener in [self._callers, *self._others]:
             await listener.start()
         await self._mesh.start()
@@ -151,8 +159,9 @@
             await listener.start()
             self._others.append(listener)
 
-    async def _stop(self):
+    async def stop(self):
         """Leave the directory, end what is under way, then end."""
+        self._stopping.set()
         self._stopped_at = now()
         self._log.write("daemon", "stopping")
         self._callers.is_stopping = True
@@ -168,14 +177,18 @@
             if self._callers.is_idle:
                 break
         self._log.write("daemon", "stop", idle=self._callers.is_idle)
+        self.kill()
+
+    def kill(self):
+        """Drop everything at once."""
+        self._stopping.set()
         self._log.flush()
-        for task in self._tasks:
+        for task in list(self._tasks):
             task.cancel()
-        self._callers.close()
-        for listener in self._others:
+        for listener in [self._callers, *self._others]:
             listener.close()
         self._pool.close()
-        await self._mesh.stop()
+        self._mesh.close()
 
     def _reload(self):
         self._log.write("daemon", "reload", note="addresses and bounds stay until restart")
@@ -338,7 +351,7 @@
             heard=0,
             is_leaving=self._stopping.is_set(),
             is_ready=self.is_ready,
-            revisions={k: m.revision for k, m in self._mirrors.items() if m.is_known},
+            revisions={k: m.newest for k, m in self._mirrors.items() if m.is_known},
             machines=sorted(self._peers.registered),
             spent=self._fleet.budgets.spent,
             loads=self._fleet.own_loads(),
--- a/rosemarypath/holding.py
+++ b/rosemarypath/holding.py
@@ -176,4 +176,4 @@
     def _is_confirmed(self, lease_now):
         if lease_now - self._confirmed_at < CONFIRMED_SECONDS:
             return True
-        return self._peers.all_vouch(lease_now)
+        return self._peers.all_vouch(HOLDER_KIND, self._mirror.newest, lease_now)
--- a/rosemarypath/link.py
+++ b/rosemarypath/link.py
@@ -165,6 +165,10 @@
 
     async def stop(self):
         """Close all links."""
+        self.close()
+
+    def close(self):
+        """Close all links at once."""
         self._server.close()
         for link in self._links.values():
             link.close()
--- a/rosemarypath/mirror.py
+++ b/rosemarypath/mirror.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import time
-from dataclasses import dataclass
 
 from rosemarypath.errors import (
     NotFoundError,
@@ -15,7 +14,7 @@
     VersionGoneError,
 )
 
-__all__ = ["Mirror", "Snapshot", "StoreHealth", "Watcher"]
+__all__ = ["Mirror", "StoreHealth", "Watcher"]
 
 WATCH_SECONDS = 20.0  # a waiting watch is priced as one call, however long
 GATHER_SECONDS = 0.1  # pause between two watches that collects a burst of events
@@ -23,15 +22,6 @@
 RETRY_MOST = 1.0  # seconds between tries while the store stays away
 
 
-@dataclass(frozen=True)
-class Snapshot:
-    """All objects of one kind at one revision."""
-
-    kind: str
-    revision: int
-    objects: tuple
-
-
 class Mirror:
     """
     The objects of one kind as known here.
@@ -41,6 +31,7 @@
 
     def __init__(self, kind, on_change):
         self._on_change = on_change
+        self._own_revision = 0
         self.kind = kind
         self.revision = 0
         self.objects = {}
@@ -51,6 +42,9 @@
         if self.is_known and revision <= self.revision:
             return
         fresh = {stored.name: stored for stored in objects}
+        for name, stored in self.objects.items():
+            if stored.version > revision:
+                fresh[name] = stored
         changed = {
             name
             for name, stored in fresh.items()
@@ -71,6 +65,9 @@
         changed = set()
         removed = set()
         for stored, is_removed in events:
+            known = self.objects.get(stored.name)
+            if known is not None and known.version > max(stored.version, revision):
+                continue
             if is_removed:
                 if self.objects.pop(stored.name, None) is not None:
                     removed.add(stored.name)
@@ -85,14 +82,16 @@
 
     def note_own(self, stored):
         """Take over an object that this daemon has just written."""
+        self._own_revision = max(self._own_revision, stored.version)
         known = self.objects.get(stored.name)
         if known is None or known.version < stored.version:
             self.objects[stored.name] = stored
             self._on_change({stored.name}, set())
 
-    def snapshot(self):
-        """Return the `Snapshot` to give to a peer."""
-        return Snapshot(self.kind, self.revision, tuple(self.objects.values()))
+    @property
+    def newest(self):
+        """Return the newest revision known, that of own writes included."""
+        return max(self.revision, self._own_revision)
 
 
 class StoreHealth:
--- a/rosemarypath/peers.py
+++ b/rosemarypath/peers.py
@@ -110,10 +110,11 @@
         names = [n for n, p in self.by_name.items() if now - p.heard_at < SILENT_SECONDS]
         return [self.own.name, *names]
 
-    def all_vouch(self, lease_now):
+    def all_vouch(self, kind, revision, lease_now):
         """
         Return whether every other registered machine has lately heard this daemon,
-        and so takes nothing over from it.
+        and so takes nothing over from it, and none knows `kind` at a newer revision
+        than `revision`, which might say that one already took over.
         """
         if not self.is_known:
             return False
@@ -121,6 +122,8 @@
             peer = self.by_name.get(name)
             if peer is None or lease_now - peer.vouched_at > VOUCH_SECONDS:
                 return False
+            if peer.revisions.get(kind, 0) > revision:
+                return False
         return True
 
     def may_take_over_from(self, name, lease_now):
--- /dev/null
+++ b/tests/edgefleet.py
@@ -0,0 +1,203 @@
+"""
+tests.edgefleet
+~~~~~~~~~~~~~~~
+
+Daemons of the users' platform, its store and replicas, in one event loop.
+"""
+
+import asyncio
+import itertools
+import os
+from contextlib import asynccontextmanager
+
+from bench.ports import free_ports
+from rosemarypath.decisionlog import DecisionLog
+from rosemarypath.edge import EdgeDaemon
+from rosemarypath.edgesettings import EdgeSettings
+from rosemarypath.httpclient import ConnectionPool, encode_request
+from rosemarypath.platform.dialect import PlatformDialect
+from standins.platformstore import PlatformStoreStandIn
+from standins.replica import MODEL, Engine, Replica
+
+HOST = "shop.example"
+KEY = "key-of-kiln"
+HOSTS = itertools.count(2)
+
+ROUTES = [
+    {"name": "read", "pathPrefix": "/read/", "kind": "safe", "maxAttempts": 2},
+    {"name": "write", "pathPrefix": "/write/", "kind": "unsafe", "maxAttempts": 1},
+    {"name": "ask", "pathPrefix": "/ask/", "kind": "streaming", "maxAttempts": 2},
+    {"name": "once", "pathPrefix": "/once/", "kind": "streaming", "maxAttempts": 1},
+]
+
+
+def configuration(version=1, routes=(), keys=(KEY,), rate=0, burst=0):
+    """Return the operator's object ``config/main``."""
+    listed = []
+    for route in [*ROUTES, *routes]:
+        is_stream = route["kind"] == "streaming"
+        entry = {"host": HOST, "timeoutMs": 3000, "targetLatencyMs": 500}
+        entry.update(priority=1, public=False, sticky=is_stream)
+        entry.update(resumable=route["name"] == "ask")
+        entry.update(service="oracle" if is_stream else "ledger")
+        listed.append({**entry, **route})
+    engine = {"slots": 8, "kvCacheTokens": 100000, "maxAdapters": 4}
+    engine.update(weightsMb=1000.0, loadsPerS=4.0)
+    engine["models"] = [{"name": MODEL, "weightsMb": 900.0, "adapterMb": 1.0}]
+    services = [
+        {"name": "oracle", "healthPath": "/health", "maxConns": 100, "engine": engine},
+        {"name": "ledger", "healthPath": "/health", "maxConns": 100},
+    ]
+    tenant = {"name": "kiln", "apiKeys": list(keys), "unit": "tokens"}
+    tenant.update(plainTokens=10, ratePerS=rate, burst=burst)
+    return {
+        "version": version,
+        "routes": listed,
+        "services": services,
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000},
+        "tenants": [tenant],
+    }
+
+
+class EdgeFleet:
+    """
+    Some daemons before a store, two engines and two plain replicas.
+
+    All listen on loopback addresses of their own.
+    """
+
+    def __init__(self, daemons=1, tmp_path=None):
+        self._numbers = itertools.count(1)
+        self._count = daemons
+        self._sinks = []
+        self.pool = ConnectionPool()
+        self.store = PlatformStoreStandIn(f"127.0.0.1:{free_ports(1)[0]}")
+        self.engines = [
+            Replica(f"engine-{n}", f"127.0.0.1:{free_ports(1)[0]}", Engine())
+            for n in (1, 2)
+        ]
+        self.ledgers = [
+            Replica(f"ledger-{n}", f"127.0.0.1:{free_ports(1)[0]}") for n in (1, 2)
+        ]
+        self.daemons = []
+        self.settings = []
+
+    async def start(self):
+        """Start everything and wait until the daemons are ready."""
+        await self.store.start()
+        for replica in self.engines + self.ledgers:
+            await replica.start()
+            self.announce(replica)
+        self.configure(configuration())
+        for _ in range(self._count):
+            await self.add_daemon()
+        await self.until(lambda: all(daemon.is_ready for daemon in self.daemons))
+        await self.until_ordered()
+
+    async def until_ordered(self, seconds=8.0):
+        """Wait until each engine has exactly one daemon that gives its orders."""
+        names = sorted(engine.name for engine in self.engines)
+        await self.until(lambda: sorted(self.ordered()) == names, seconds)
+
+    def ordered(self):
+        """Return the engine names that the daemons give orders to."""
+        return [name for daemon in self.daemons for name in daemon.ordered_engines]
+
+    def announce(self, replica, **fields):
+        """Write a replica's entry into the store."""
+        service = "oracle" if replica.engine is not None else "ledger"
+        zone = "z1" if replica.name.endswith("1") else "z2"
+        entry = replica.entry(service, zone)
+        self.store.put("servers", replica.name, {**entry, **fields})
+
+    def configure(self, document):
+        """Put a configuration in force."""
+        self.store.put("config", "main", document)
+
+    async def add_daemon(self, settings=None):
+        """Start one more daemon, or one with the settings of an earlier one."""
+        if settings is None:
+            settings = self._new_settings()
+            self.settings.append(settings)
+        descriptor = os.open(os.devnull, os.O_WRONLY)
+        self._sinks.append(descriptor)
+        log = DecisionLog(settings.machine, descriptor)
+        daemon = EdgeDaemon(settings, PlatformDialect(), log)
+        await daemon.start()
+        self.daemons.append(daemon)
+        return daemon
+
+    async def until(self, holds, seconds=8.0):
+        """Wait until ``holds()``; raises `TimeoutError`."""
+        async with asyncio.timeout(seconds):
+            while not holds():
+                await asyncio.sleep(0.02)
+
+    async def call(self, path, daemon=0, method=b"GET", body=b"", **options):
+        """Send one request to a daemon; return its `Reply`."""
+        address = self.settings[daemon].callers_address
+        connection = await self.pool.acquire(address, 0.0, is_fresh=True)
+        try:
+            connection.send(
+                encode_request(method, path, self.headers(**options), body), method
+            )
+            async with asyncio.timeout(6.0):
+                head = await connection.head()
+                content = await connection.read_all()
+            return type(head)(head.status, head.headers, content)
+        finally:
+            connection.abort()
+
+    def headers(self, id="", key=KEY, adapter="", deadline=3000, tokens="", **more):
+        """Return a caller's headers."""
+        pairs = [(b"Host", HOST.encode())]
+        pairs.append((b"X-Attempt-Id", (id or f"r{next(self._numbers)}").encode()))
+        pairs.append((b"X-Deadline-Ms", str(deadline).encode()))
+        if key:
+            pairs.append((b"Authorization", b"Bearer " + key.encode()))
+        if adapter is not None and (adapter or more.pop("model", False)):
+            name = f"{MODEL}/{adapter}" if adapter else MODEL
+            pairs.append((b"X-Model", name.encode()))
+        if tokens:
+            pairs.append((b"X-Token-Usage", tokens.encode()))
+        pairs += [(k.encode(), v.encode()) for k, v in more.items()]
+        return pairs
+
+    async def stop(self):
+        """End everything."""
+        for daemon in self.daemons:
+            daemon.kill()
+        for replica in self.engines + self.ledgers:
+            replica.close()
+        self.store.close()
+        self.pool.close()
+        for descriptor in self._sinks:
+            os.close(descriptor)
+        await asyncio.sleep(0)
+
+    def _new_settings(self):
+        number = len(self.settings) + 1
+        host = f"127.0.{next(HOSTS)}.{number + 1}"
+        ports = [f"{host}:{port}" for port in free_ports(4)]
+        return EdgeSettings(
+            machine=f"edge-{number}",
+            zone=f"z{1 + number % 2}",
+            region="r",
+            callers_address=ports[0],
+            readiness_address=ports[1],
+            directory_address=ports[2],
+            peers_address=ports[3],
+            store_address=self.store.address,
+            retry_slack=40.0,
+        )
+
+
+@asynccontextmanager
+async def running_fleet(daemons=1):
+    """Run an `EdgeFleet` with so many daemons."""
+    fleet = EdgeFleet(daemons)
+    try:
+        await fleet.start()
+        yield fleet
+    finally:
+        await fleet.stop()
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,141 @@
+"""
+tests.test_choice
+~~~~~~~~~~~~~~~~~
+
+Choosing back ends under the loads that the choice answers.
+"""
+
+import random
+from collections import Counter
+
+from hypothesis import given, settings, strategies as st
+
+from rosemarypath.backend import ENGINE, SERVICE, BackEnd, BackEndEntry, HeldModel
+from rosemarypath.backends import BackEndState
+from rosemarypath.choice import Choice, ChoiceFacts, Refusal, choose_back_end
+from rosemarypath.demand import Demand
+
+FACTS = ChoiceFacts(zone="z1")
+
+
+def engine(name, adapters=(), zone="z1", capacity=64, now=0.0):
+    back_end = BackEnd(
+        name=name, address="h:1", zone=zone, kind=ENGINE, serves="s", capacity=capacity
+    )
+    models = (HeldModel("m", 1, {adapter: 1 for adapter in adapters}),)
+    state = BackEndState(BackEndEntry(back_end=back_end, models=models), now)
+    state.set_models(models)
+    return state
+
+
+def plain(name, capacity=6):
+    back_end = BackEnd(
+        name=name, address="h:1", zone="z1", kind=SERVICE, serves="s", capacity=capacity
+    )
+    return BackEndState(BackEndEntry(back_end=back_end), 0.0)
+
+
+def demand(adapter="", prompt=800):
+    return Demand("r", 10.0, model="m", adapter=adapter, prompt_tokens=prompt)
+
+
+def test_an_engine_that_holds_the_adapter_is_preferred():
+    states = [engine("a"), engine("b", ["x"]), engine("c")]
+    choice = choose_back_end(states, demand("x"), FACTS, 0.0)
+    assert (choice.state.name, choice.needs_load) == ("b", False)
+
+
+def test_a_burst_on_one_adapter_gets_a_second_home_before_prompts_pile_up():
+    states = [engine("a", ["x"]), engine("b"), engine("c")]
+    for _ in range(40):
+        choice = choose_back_end(states, demand("x"), FACTS, 0.0)
+        if choice.needs_load:
+            break
+        choice.state.begin(demand("x"), 0.0)
+    assert choice.needs_load
+    waiting = states[0].prompt_tokens(0.0) / 25_000.0
+    assert waiting < 0.6, "the first token would be late at the first home"
+
+
+def test_rare_adapters_keep_their_homes_while_loads_are_alike():
+    states = [engine(name) for name in "abcdef"]
+    first = choose_back_end(states, demand("rare"), FACTS, 0.0).state.name
+    for _ in range(20):
+        assert choose_back_end(states, demand("rare"), FACTS, 0.0).state.name == first
+
+
+def test_homes_are_spread_over_the_engines():
+    states = [engine(name) for name in "abcdef"]
+    homes = Counter(
+        choose_back_end(states, demand(f"a{n}"), FACTS, 0.0).state.name
+        for n in range(600)
+    )
+    assert min(homes.values()) > 60
+
+
+def test_a_back_end_that_fails_is_avoided_and_tried_again_later():
+    states = [plain("a"), plain("b")]
+    states[0].note_failure(0.0, 2.0)
+    names = [choose_back_end(states, Demand("r", 1.0), FACTS, 0.1) for _ in range(20)]
+    assert {choice.state.name for choice in names} == {"b"}
+    later = {
+        choose_back_end(states, Demand("r", 1.0), FACTS, 30.0).state.name
+        for _ in range(60)
+    }
+    assert later == {"a", "b"}
+
+
+def test_a_cold_back_end_gets_no_more_than_its_share():
+    entry = engine("a").entry
+    cold = BackEndState(
+        BackEndEntry(back_end=entry.back_end, cold_seconds=3.0, models=entry.models), 0.0
+    )
+    cold.set_models(entry.models)
+    facts = ChoiceFacts(zone="z1", cold_sends=2)
+    sent = 0
+    while isinstance(choose_back_end([cold], demand(), facts, 1.0), Choice):
+        cold.begin(demand(), 1.0)
+        sent += 1
+    assert sent == 2
+    assert isinstance(choose_back_end([cold], demand(), facts, 2.5), Choice)
+
+
+def test_an_old_version_serves_only_for_a_while():
+    state = engine("a", ["x"])
+    young = ChoiceFacts(zone="z1", version=2, version_age=1.0)
+    old = ChoiceFacts(zone="z1", version=2, version_age=4.0)
+    assert not choose_back_end([state], demand("x"), young, 0.0).needs_load
+    assert choose_back_end([state], demand("x"), old, 0.0).needs_load
+    state.begin(demand("x"), 0.0)
+    assert isinstance(choose_back_end([state], demand("x"), old, 0.0), Refusal)
+
+
+def test_without_back_ends_the_refusal_says_when_to_return():
+    refusal = choose_back_end([], demand(), FACTS, 0.0)
+    assert refusal.reason == "no_back_end"
+    assert refusal.retry_after > 0
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.integers(0, 2**32), st.floats(10.0, 70.0))
+def test_no_engine_gets_far_more_than_its_share(seed, rate):
+    """Plays a Zipf load of adapters; each request takes a slot for two seconds."""
+    rng = random.Random(seed)
+    hot = [f"a{n}" for n in range(1, 40)]
+    weights = [n**-1.2 for n in range(1, 40)]
+    states = [engine(f"e{n}", hot[:20]) for n in range(6)]
+    running = []
+    now = 0.0
+    most = 0
+    while now < 6.0:
+        now += rng.expovariate(rate)
+        for end, state, ended in [r for r in running if r[0] <= now]:
+            state.end(ended, True, end)
+        running = [r for r in running if r[0] > now]
+        asked = demand(rng.choices(hot, weights)[0])
+        choice = choose_back_end(states, asked, FACTS, now)
+        choice.state.begin(asked, now)
+        choice.state.note_first_byte(asked)
+        running.append((now + 2.0, choice.state, asked))
+        most = max(most, max(state.own.running for state in states))
+    assert most <= max(24, 2.0 * rate * 2.0 / 6)
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,269 @@
+"""
+tests.test_forwarding
+~~~~~~~~~~~~~~~~~~~~~
+
+Requests through a daemon on the users' platform, with replicas that misbehave.
+"""
+
+import asyncio
+
+import pytest
+
+from rosemarypath.httpclient import Connection, encode_request
+from tests.edgefleet import configuration, running_fleet
+
+WHOLE = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 7))
+
+
+def play(scenario, daemons=1):
+    """Run ``scenario(fleet)`` against a fresh fleet."""
+
+    async def run():
+        async with running_fleet(daemons) as fleet:
+            await scenario(fleet)
+
+    asyncio.run(run())
+
+
+def ran(replicas, request):
+    return sum(replica.runs(request) for replica in replicas)
+
+
+def test_a_request_reaches_one_replica_with_its_customer_and_without_the_key():
+    async def scenario(fleet):
+        reply = await fleet.call(b"/read/stock?x=1", id="a1", **{"X-Tenant": "forged"})
+        assert reply.status == 200
+        seen = [s for r in fleet.ledgers for s in r.seen if s.id == "a1"]
+        assert len(seen) == 1
+        assert seen[0].path == "/read/stock?x=1"
+        assert seen[0].headers["x-tenant"] == "kiln"
+        assert "authorization" not in seen[0].headers
+        assert 0 < int(seen[0].headers["x-deadline-ms"]) <= 3000
+
+    play(scenario)
+
+
+def test_routes_keys_and_ids_that_are_wrong_are_refused_as_such():
+    async def scenario(fleet):
+        assert (await fleet.call(b"/none/")).status == 404
+        assert (await fleet.call(b"/read/x", key="other")).status == 401
+        assert (await fleet.call(b"/read/x", key="")).status == 401
+        headers = [(b"Host", b"shop.example"), (b"X-Deadline-Ms", b"soon")]
+        headers.append((b"X-Attempt-Id", b"a2"))
+        address = fleet.settings[0].callers_address
+        connection = await Connection.open(address)
+        connection.send(encode_request(b"GET", b"/read/x", headers))
+        assert (await connection.head()).status == 400
+        connection.abort()
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("fault", ["sheds", "errors", "resets", "unsigned"])
+def test_a_safe_request_goes_to_another_replica(fault):
+    async def scenario(fleet):
+        for replica in fleet.ledgers:
+            setattr(replica.faults, fault, 1)
+        fleet.ledgers[0].faults = type(fleet.ledgers[0].faults)()
+        for number in range(6):
+            reply = await fleet.call(b"/read/x", id=f"b{number}")
+            assert reply.status == 200
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("fault", ["errors", "resets", "unsigned"])
+def test_an_unsafe_request_that_may_have_run_is_not_repeated(fault):
+    async def scenario(fleet):
+        for replica in fleet.ledgers:
+            setattr(replica.faults, fault, 9)
+        reply = await fleet.call(b"/write/x", id="c1", method=b"POST", body=b"order")
+        assert reply.status in (500, 502)
+        assert ran(fleet.ledgers, "c1") == 1
+
+    play(scenario)
+
+
+def test_an_unsafe_request_that_no_replica_ran_is_refused_as_not_run():
+    async def scenario(fleet):
+        for replica in fleet.ledgers:
+            replica.faults.sheds = 99
+        reply = await fleet.call(b"/write/x", id="c2", method=b"POST", body=b"order")
+        assert reply.status == 503
+        assert reply.header(b"retry-after") is not None
+        assert ran(fleet.ledgers, "c2") == 0
+
+    play(scenario)
+
+
+def test_an_answer_to_another_request_is_not_passed_on():
+    async def scenario(fleet):
+        for replica in fleet.ledgers:
+            replica.faults.strays = 1
+            replica.faults.extras = 1
+        for number in range(6):
+            reply = await fleet.call(b"/read/x", id=f"d{number}")
+            assert reply.status == 200
+            assert reply.body.endswith(f"to d{number}".encode())
+
+    play(scenario)
+
+
+def test_an_adapter_is_loaded_before_its_request_is_sent():
+    async def scenario(fleet):
+        reply = await fleet.call(b"/ask/x", id="e1", method=b"POST", adapter="a7")
+        assert (reply.status, reply.body) == (200, WHOLE)
+        assert ran(fleet.engines, "e1") == 1
+        holding = [e for e in fleet.engines if "a7" in e.engine.adapters]
+        assert len(holding) == 1
+        again = await fleet.call(b"/ask/x", id="e2", method=b"POST", adapter="a7")
+        assert again.status == 200
+        assert holding[0].runs("e2") == 1
+
+    play(scenario)
+
+
+def test_an_engine_is_never_ordered_to_hold_more_than_it_has_places():
+    async def scenario(fleet):
+        names = [f"a{number}" for number in range(14)]
+        replies = []
+        for _ in range(2):
+            for name in names:
+                call = fleet.call(b"/ask/x", method=b"POST", adapter=name)
+                replies.append((await call).status)
+        assert replies.count(200) == len(replies)
+        for engine in fleet.engines:
+            assert len(engine.engine.adapters) <= engine.engine.places
+
+    play(scenario)
+
+
+def test_orders_carried_out_late_do_not_overfill_an_engine():
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.faults.mute_orders = 3
+        statuses = []
+        for number in range(12):
+            call = fleet.call(b"/ask/x", method=b"POST", adapter=f"a{number}")
+            statuses.append((await call).status)
+        await asyncio.sleep(1.0)
+        assert statuses.count(200) >= 8
+        for engine in fleet.engines:
+            assert len(engine.engine.adapters) <= engine.engine.places
+
+    play(scenario)
+
+
+def test_a_stream_that_breaks_goes_on_elsewhere_without_a_gap():
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.faults.truncates = 1
+        reply = await fleet.call(b"/ask/x", id="f1", method=b"POST", model=True)
+        assert (reply.status, reply.body) == (200, WHOLE)
+        assert ran(fleet.engines, "f1") in (2, 3)
+
+    play(scenario)
+
+
+def test_a_stream_that_may_not_be_resumed_ends_as_broken():
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.faults.truncates = 1
+        with pytest.raises(Exception):
+            await fleet.call(b"/once/x", id="f2", method=b"POST", model=True)
+        assert ran(fleet.engines, "f2") == 1
+
+    play(scenario)
+
+
+def test_a_caller_that_leaves_ends_the_run():
+    async def scenario(fleet):
+        for replica in fleet.ledgers:
+            replica.faults.hangs = 1
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await fleet.call(b"/write/x", id="g1", method=b"POST", body=b"o")
+        await fleet.until(lambda: any("g1" in r.cancelled for r in fleet.ledgers), 1.0)
+
+    play(scenario)
+
+
+def test_a_request_gets_its_final_answer_at_its_deadline():
+    async def scenario(fleet):
+        for replica in fleet.ledgers:
+            replica.faults.hangs = 9
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        reply = await fleet.call(
+            b"/write/x", id="h1", method=b"POST", body=b"o", deadline=400
+        )
+        assert reply.status == 504
+        assert 0.3 < loop.time() - started < 0.6
+
+    play(scenario)
+
+
+def test_a_replica_that_leaves_gets_no_new_request():
+    async def scenario(fleet):
+        fleet.announce(fleet.ledgers[0], state="draining")
+        await asyncio.sleep(0.4)
+        for _ in range(6):
+            assert (await fleet.call(b"/read/x")).status == 200
+        assert not fleet.ledgers[0].seen
+
+    play(scenario)
+
+
+def test_an_evacuated_zone_gets_no_new_request_until_it_is_back():
+    async def scenario(fleet):
+        # The daemon prefers its own zone, z2, while that is in service.
+        fleet.store.put("evacuations", "z2", {})
+        await asyncio.sleep(0.4)
+        for _ in range(6):
+            assert (await fleet.call(b"/read/x")).status == 200
+        assert not fleet.ledgers[1].seen
+        fleet.store.remove("evacuations", "z2")
+        await asyncio.sleep(0.4)
+        for _ in range(12):
+            await fleet.call(b"/read/x")
+        assert fleet.ledgers[1].seen
+
+    play(scenario)
+
+
+def test_a_withdrawn_key_stops_working_and_a_new_route_begins_to():
+    async def scenario(fleet):
+        route = {"name": "new", "pathPrefix": "/new/", "kind": "safe"}
+        fleet.configure(configuration(2, [route], keys=["second"]))
+        await asyncio.sleep(0.4)
+        assert (await fleet.call(b"/read/x")).status == 401
+        assert (await fleet.call(b"/new/x", key="second")).status == 200
+
+    play(scenario)
+
+
+def test_a_new_version_of_an_adapter_is_used_soon():
+    async def scenario(fleet):
+        await fleet.call(b"/ask/x", method=b"POST", adapter="a1")
+        for engine in fleet.engines:
+            engine.engine.newest["a1"] = 2
+        spec = {"model": "base", "adapter": "a1", "version": 2}
+        fleet.store.put("versions", "base.a1", spec)
+        held = [e.engine for e in fleet.engines]
+        await fleet.until(lambda: any(e.adapters.get("a1") == 2 for e in held), 3.0)
+
+    play(scenario)
+
+
+def test_a_customer_gets_its_rate_and_burst_and_is_told_when_to_return():
+    async def scenario(fleet):
+        fleet.configure(configuration(2, rate=200, burst=400))
+        await asyncio.sleep(2.2)
+        replies = [await fleet.call(b"/read/x", tokens="90,10") for _ in range(12)]
+        statuses = [reply.status for reply in replies]
+        assert 4 <= statuses.count(200) <= 6
+        assert statuses.count(429) == len(statuses) - statuses.count(200)
+        refused = next(reply for reply in replies if reply.status == 429)
+        assert 0.0 < float(refused.header(b"retry-after")) < 1.0
+
+    play(scenario)
--- /dev/null
+++ b/tests/test_holding.py
@@ -0,0 +1,225 @@
+"""
+tests.test_holding
+~~~~~~~~~~~~~~~~~~
+
+Holders of orders: never two at once, through silence, outages and restarts.
+"""
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from rosemarypath.errors import ConflictError, NotFoundError, StoreUnavailableError
+from rosemarypath.holding import HOLDER_KIND, Holdings
+from rosemarypath.machine import Machine
+from rosemarypath.messages import PeerState
+from rosemarypath.mirror import Mirror
+from rosemarypath.peers import Peers
+from rosemarypath.stored import StoredObject
+
+LEASE = 3.0
+
+
+class MemoryStore:
+    """A store in memory that can be out of reach for some machines."""
+
+    def __init__(self):
+        self.objects = {}
+        self.revision = 1
+        self.is_down = False
+        self.refused = set()
+
+    def for_machine(self, name):
+        return _Access(self, name)
+
+
+@dataclass
+class _Access:
+    store: MemoryStore
+    machine: str
+
+    def _check(self):
+        if self.store.is_down or self.machine in self.store.refused:
+            raise StoreUnavailableError("away", "wait")
+
+    async def list(self, kind):
+        self._check()
+        return list(self.store.objects.values()), self.store.revision
+
+    async def create(self, kind, name, spec):
+        self._check()
+        if name in self.store.objects:
+            raise ConflictError("exists", "read")
+        return self._put(name, spec)
+
+    async def update(self, kind, name, spec, version=0):
+        self._check()
+        known = self.store.objects.get(name)
+        if known is None:
+            raise NotFoundError("none", "create")
+        if version and known.version != version:
+            raise ConflictError("changed", "read")
+        return self._put(name, spec)
+
+    def _put(self, name, spec):
+        self.store.revision += 1
+        stored = StoredObject(name, self.store.revision, spec)
+        self.store.objects[name] = stored
+        return stored
+
+
+def machine(name):
+    return Machine(
+        name=name, incarnation="1", zone="z", callers_address="a", peers_address="p"
+    )
+
+
+class Node:
+    """One daemon's part in holding orders, with its own view."""
+
+    def __init__(self, name, names, store, now):
+        self.name = name
+        self.peers = Peers(machine(name), now, now)
+        self.peers.set_machines([machine(other) for other in names], now, now)
+        self.mirror = Mirror(HOLDER_KIND, lambda changed, removed: None)
+        access = store.for_machine(name)
+        self.holdings = Holdings(name, self.peers, access, self.mirror, LEASE)
+
+    def beat(self, now):
+        self.number = self.peers.next_number(now)
+        return self.number
+
+    def hear(self, other, now):
+        state = PeerState(
+            number=other.peers.number,
+            heard=other.peers.by_name[self.name].number,
+            is_leaving=False,
+            is_ready=True,
+            revisions={HOLDER_KIND: other.mirror.newest},
+            machines=[],
+            spent={},
+            loads={},
+            held={},
+        )
+        self.peers.note_state(f"{other.name}/1", state, now, now)
+
+
+def play(seed, seconds=25.0):
+    """Play cuts and outages at random; return the orders as (time, machine, fence)."""
+    rng = random.Random(seed)
+    names = ["a", "b", "c", "d"]
+    store = MemoryStore()
+    nodes = {name: Node(name, names, store, 0.0) for name in names}
+    cut = set()
+    frozen = {}
+    orders = []
+
+    async def run():
+        now = 0.0
+        while now < seconds:
+            now += 0.1
+            if rng.random() < 0.02:
+                cut.symmetric_difference_update({rng.choice(names)})
+            if rng.random() < 0.02:
+                store.refused.symmetric_difference_update({rng.choice(names)})
+            if rng.random() < 0.01:
+                store.is_down = not store.is_down
+            if rng.random() < 0.01:
+                frozen[rng.choice(names)] = now + rng.uniform(0.5, 6.0)
+            awake = [n for n in nodes.values() if frozen.get(n.name, 0.0) <= now]
+            for node in awake:
+                node.beat(now)
+            for node in awake:
+                for other in awake:
+                    if other is not node and not {node.name, other.name} & cut:
+                        node.hear(other, now)
+            for node in awake:
+                await step(node, now)
+
+    async def step(node, now):
+        is_away = store.is_down or node.name in store.refused
+        if not is_away:
+            node.mirror.replace(list(store.objects.values()), store.revision)
+            if node.holdings.wants("engine", now, now):
+                try:
+                    await node.holdings.take("engine", now)
+                except StoreUnavailableError:
+                    pass
+        await node.holdings.confirm(now)
+        fence = node.holdings.fence("engine", now)
+        if fence:
+            orders.append((now, node.name, fence))
+
+    asyncio.run(run())
+    return orders
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.integers(0, 2**32))
+def test_holders_never_take_turns_within_a_lease(seed):
+    orders = play(seed)
+    for (before, first, old), (after, second, new) in zip(orders, orders[1:]):
+        if first != second:
+            assert after - before >= LEASE
+            assert new > old
+
+
+def test_a_silent_holder_is_replaced():
+    store = MemoryStore()
+    names = ["a", "b"]
+    nodes = {name: Node(name, names, store, 0.0) for name in names}
+
+    async def run():
+        first = None
+        now = 0.0
+        for tick in range(200):
+            now = tick * 0.1
+            for node in nodes.values():
+                node.beat(now)
+                if tick < 50 or node.name != first:
+                    node.mirror.replace(list(store.objects.values()), store.revision)
+            if tick < 50:
+                nodes["a"].hear(nodes["b"], now)
+                nodes["b"].hear(nodes["a"], now)
+            for node in nodes.values():
+                if tick >= 50 and node.name == first:
+                    continue
+                if node.holdings.wants("engine", now, now):
+                    await node.holdings.take("engine", now)
+                    first = first or node.name
+                await node.holdings.confirm(now)
+                if node.holdings.fence("engine", now) and node.name != first:
+                    return now
+        return None
+
+    took_over_at = asyncio.run(run())
+    assert took_over_at is not None
+    assert 5.0 + LEASE < took_over_at < 5.0 + LEASE + 6.0
+
+
+def test_a_restarted_holder_orders_at_once_with_its_fence():
+    store = MemoryStore()
+    node = Node("a", ["a"], store, 0.0)
+
+    async def run():
+        node.mirror.replace([], 1)
+        assert await node.holdings.take("engine", 0.0)
+        fence = node.holdings.fence("engine", 0.1)
+        again = Node("a", ["a"], store, 10.0)
+        again.mirror.replace(list(store.objects.values()), store.revision)
+        assert await again.holdings.confirm(10.0)
+        return fence, again.holdings.fence("engine", 10.0)
+
+    before, after = asyncio.run(run())
+    assert before and before == after
+
+
+@pytest.mark.parametrize("spec", [None, "x", {}, {"machine": 3}])
+def test_an_unreadable_holder_is_nobody(spec):
+    node = Node("a", ["a"], MemoryStore(), 0.0)
+    node.mirror.replace([StoredObject("engine", 5, spec)], 6)
+    assert node.holdings.holder("engine") is None
+    assert node.holdings.fence("engine", 1.0) == 0
--- /dev/null
+++ b/tests/test_mirror.py
@@ -0,0 +1,129 @@
+"""
+tests.test_mirror
+~~~~~~~~~~~~~~~~~
+
+Copies of the store through outages, lost history and news from peers.
+"""
+
+import asyncio
+
+from hypothesis import given, settings, strategies as st
+
+from rosemarypath.errors import StoreUnavailableError, VersionGoneError
+from rosemarypath.mirror import Mirror, StoreHealth, Watcher
+from rosemarypath.stored import StoredObject
+
+
+def new_mirror():
+    changes = []
+    mirror = Mirror("k", lambda changed, removed: changes.append((changed, removed)))
+    return mirror, changes
+
+
+def test_a_list_then_events_give_the_state():
+    mirror, changes = new_mirror()
+    mirror.replace([StoredObject("a", 1, "x"), StoredObject("b", 2, "y")], 2)
+    mirror.apply([(StoredObject("a", 3, "z"), False)], 3)
+    mirror.apply([(StoredObject("b", 2, "y"), True)], 4)
+    assert {n: o.spec for n, o in mirror.objects.items()} == {"a": "z"}
+    assert changes == [({"a", "b"}, set()), ({"a"}, set()), (set(), {"b"})]
+
+
+def test_older_news_changes_nothing():
+    mirror, changes = new_mirror()
+    mirror.replace([StoredObject("a", 5, "new")], 6)
+    mirror.replace([StoredObject("a", 3, "old")], 4)
+    mirror.apply([(StoredObject("a", 3, "old"), False)], 4)
+    assert mirror.objects["a"].spec == "new"
+    assert len(changes) == 1
+
+
+def test_an_own_write_is_not_undone_by_events_from_before():
+    mirror, _ = new_mirror()
+    mirror.replace([], 1)
+    mirror.note_own(StoredObject("a", 9, "mine"))
+    mirror.apply([(StoredObject("a", 5, "before"), False)], 6)
+    assert mirror.objects["a"].spec == "mine"
+    mirror.replace([], 7)
+    assert mirror.objects["a"].spec == "mine"
+    mirror.replace([], 10)
+    assert mirror.objects == {}
+
+
+@settings(max_examples=100, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), max_size=20), st.data())
+def test_lists_and_watches_in_any_order_end_in_the_same_state(writes, data):
+    history = []
+    state = {}
+    states = [dict(state)]
+    for revision, (name, is_removed) in enumerate(writes, start=1):
+        if is_removed and name in state:
+            history.append((revision, state.pop(name), True))
+        elif not is_removed:
+            state[name] = StoredObject(name, revision, revision)
+            history.append((revision, state[name], False))
+        states.append(dict(state))
+    mirror, _ = new_mirror()
+    last = len(writes)
+    mirror.replace(list(states[0].values()), 0)
+    while mirror.revision < last:
+        to = data.draw(st.integers(mirror.revision, last))
+        if data.draw(st.booleans()):
+            mirror.replace(list(states[to].values()), to)
+        else:
+            since = data.draw(st.integers(0, mirror.revision))
+            events = [(o, gone) for r, o, gone in history if since < r <= to]
+            mirror.apply(events, to)
+        assert mirror.objects == states[mirror.revision]
+
+
+class Store:
+    """Fails as told, then answers."""
+
+    def __init__(self, answers):
+        self.answers = list(answers)
+        self.asked = []
+
+    async def _next(self, verb):
+        self.asked.append(verb)
+        if not self.answers:
+            await asyncio.sleep(3600)
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def list(self, kind):
+        return await self._next("list")
+
+    async def watch(self, kind, revision, seconds):
+        return await self._next(f"watch {revision}")
+
+
+def test_lost_history_is_listed_anew_and_an_outage_is_waited_out():
+    away = StoreUnavailableError("away", "wait")
+    store = Store(
+        [
+            away,
+            ([StoredObject("a", 1, "x")], 1),
+            VersionGoneError("gone", "list"),
+            ([StoredObject("a", 5, "y")], 5),
+            away,
+            ([(StoredObject("b", 6, "z"), False)], 6),
+        ]
+    )
+    mirror, _ = new_mirror()
+    states = []
+    health = StoreHealth(lambda is_up, reason: states.append(is_up))
+
+    async def run():
+        watcher = Watcher(store, mirror, health, gather=0.0)
+        task = asyncio.create_task(watcher.run())
+        await asyncio.sleep(0.5)
+        task.cancel()
+
+    asyncio.run(run())
+    assert store.asked[:3] == ["list", "list", "watch 1"]
+    assert store.asked[3:] == ["list", "watch 5", "watch 5", "watch 6"]
+    assert {n: o.spec for n, o in mirror.objects.items()} == {"a": "y", "b": "z"}
+    assert states == [True, False, True]
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,106 @@
+"""
+tests.test_shares
+~~~~~~~~~~~~~~~~~
+
+Budgets kept by several daemons that learn of each other late or never.
+"""
+
+import random
+
+from hypothesis import given, settings, strategies as st
+
+from rosemarypath.routing import Budget, Contract
+from rosemarypath.shares import BudgetShares, RetryShares
+
+CUSTOMER = Contract(
+    name="c", budget=Budget(rate=1000.0, burst=1000.0, counts_tokens=True)
+)
+
+
+def grants(daemons, lag, seconds, offered, rng, parts=None):
+    """Play daemons that tell each other every `lag` seconds; return (time, tokens)."""
+    shares = [BudgetShares() for _ in range(daemons)]
+    for share in shares:
+        share.open([CUSTOMER], 1.0, -20.0)
+    parts = parts or [list(range(daemons))]
+    part_of = {d: part for part in parts for d in part}
+    granted = []
+    told = 0.0
+    now = 0.0
+    while now < seconds:
+        now += rng.expovariate(offered / 100.0)
+        if now - told >= lag:
+            told = now
+            for sender in range(daemons):
+                for receiver in part_of[sender]:
+                    if receiver != sender:
+                        spent = shares[sender].spent
+                        shares[receiver].note_peer(f"d{sender}", spent)
+        daemon = rng.randrange(daemons)
+        heard = len(part_of[daemon]) / daemons
+        if shares[daemon].take(CUSTOMER, 100, heard, now) == 0.0:
+            granted.append((now, 100))
+    return granted
+
+
+def worst_window(granted, window):
+    return max(
+        sum(tokens for at, tokens in granted if start <= at < start + window)
+        for start, _ in granted
+    )
+
+
+@settings(max_examples=15, deadline=None)
+@given(st.integers(0, 2**32))
+def test_a_customer_that_sends_four_times_its_rate_gets_its_rate(seed):
+    granted = grants(8, 0.2, 20.0, 4000.0, random.Random(seed))
+    # The bound of the users' rules: a tenth over, and 17,000 tokens beside.
+    assert worst_window(granted, 8.0) <= (8 * 1000 + 1000) * 1.1 + 17000
+    total = sum(tokens for _, tokens in granted)
+    assert 0.9 * 20 * 1000 <= total <= 1.15 * 20 * 1000 + 1000
+
+
+@settings(max_examples=15, deadline=None)
+@given(st.integers(0, 2**32))
+def test_daemons_that_are_cut_apart_stay_within_the_rate_together(seed):
+    parts = [[0, 1, 2], [3, 4, 5, 6, 7]]
+    granted = grants(8, 0.2, 20.0, 4000.0, random.Random(seed), parts)
+    total = sum(tokens for _, tokens in granted)
+    assert total <= 1.15 * 20 * 1000 + 2000
+
+
+def test_a_request_within_the_rate_is_not_refused():
+    granted = grants(8, 0.2, 20.0, 500.0, random.Random(1))
+    refused = grants(8, 0.2, 20.0, 500.0, random.Random(1))
+    assert len(granted) == len(refused) > 80
+
+
+def test_the_wait_told_is_when_the_tokens_are_there():
+    shares = BudgetShares()
+    shares.open([CUSTOMER], 1.0, 0.0)
+    assert shares.take(CUSTOMER, 1000, 1.0, 100.0) == 0.0
+    assert abs(shares.take(CUSTOMER, 500, 1.0, 100.0) - 0.5) < 1e-6
+    assert shares.take(CUSTOMER, 500, 1.0, 100.51) == 0.0
+
+
+def test_what_did_not_run_is_given_back():
+    shares = BudgetShares()
+    shares.open([CUSTOMER], 1.0, 0.0)
+    assert shares.take(CUSTOMER, 1000, 1.0, 100.0) == 0.0
+    shares.give_back(CUSTOMER, 1000)
+    assert shares.take(CUSTOMER, 1000, 1.0, 100.0) == 0.0
+
+
+def test_repeated_sends_stay_within_the_bound_over_all_daemons():
+    daemons = [RetryShares(0.2, 56.0, 10.0) for _ in range(8)]
+    spent = [0] * 200
+    requests = 0
+    for tick in range(200):
+        now = tick * 0.1
+        for daemon in daemons:
+            requests += 1
+            daemon.earn("s")
+            while daemon.spend("s", 8, now):
+                spent[tick] += 1
+    worst = max(sum(spent[start : start + 100]) for start in range(100))
+    assert worst <= 0.2 * requests / 2 + 56
