--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -41,6 +41,8 @@
 HEARTBEAT_SECONDS = 0.2  # loads and grants are as old as this at the others
 LINK_SILENCE = 0.8  # seconds without an answer after which a link is dialled anew
 HOLDING_SECONDS = 0.3  # between two looks at who gives orders
+FIRST_HOLDING_SECONDS = 0.05  # the same just after a start, until some are known
+FRESH_SECONDS = 2.0  # a daemon's start is over after that
 RELAY_SECONDS = 0.25  # a copy that is behind a peer's for so long is asked for
 REGISTER_RETRY = 0.3  # seconds between tries to register
 FORGET_SECONDS = 12.0  # a machine silent for so long is struck from the register
@@ -413,9 +415,11 @@
     async def _keep_holdings(self):
         holdings = self._fleet.holdings
         while True:
-            await asyncio.sleep(HOLDING_SECONDS)
+            is_fresh = not self._fleet.keepers and self._is_fresh(now())
+            await asyncio.sleep(FIRST_HOLDING_SECONDS if is_fresh else HOLDING_SECONDS)
             if self._stopping.is_set() or not self._peers.is_known:
                 continue
+            self._match_keepers(holdings)
             for state in self._fleet.engines():
                 try:
                     await self._keep_holding(holdings, state)
@@ -423,6 +427,9 @@
                     self._health.note_failure(now(), error.message)
             self._match_keepers(holdings)
 
+    def _is_fresh(self, at):
+        return at - self._peers.started_at < FRESH_SECONDS
+
     async def _keep_holding(self, holdings, state):
         if holdings.wants(state.name, now(), lease_now()):
             is_taken = await holdings.take(state.name, lease_now())
@@ -455,6 +462,8 @@
             lambda: self._fleet.engine_plan(service),
             self._fleet.newest_version,
             self._log,
+            # The process before this one gave its last orders before this start.
+            self._peers.started_at,
         )
         self._fleet.keepers[state.name] = keeper
         self._keeper_tasks[state.name] = self._spawn(keeper.run())
--- a/rosemarypath/loading.py
+++ b/rosemarypath/loading.py
@@ -64,9 +64,11 @@
         Function that returns the newest version of a named adapter, 0 where unknown.
     `log`
         The `DecisionLog`.
+    `ordered_at`
+        The latest time at which this machine may have given orders before.
     """
 
-    def __init__(self, state, calls, holdings, plan_of, version_of, log):
+    def __init__(self, state, calls, holdings, plan_of, version_of, log, ordered_at):
         self._calls = calls
         self._holdings = holdings
         self._plan_of = plan_of
@@ -80,8 +82,7 @@
         self._places = Places(0)
         self._models = {}
         self._model_ordered_at = float("-inf")
-        # The process before this one may have given orders until just now.
-        self._ordered_at = now()
+        self._ordered_at = ordered_at
         self._born = state.entry.born
         self.state = state
 
--- a/rosemarypath/peers.py
+++ b/rosemarypath/peers.py
@@ -12,6 +12,7 @@
 __all__ = ["Peer", "Peers"]
 
 SILENT_SECONDS = 1.2  # six heartbeats; a silent daemon is not named to callers
+FIRST_WORDS_SECONDS = 1.5  # time in which all have spoken after a common restart
 VOUCH_SECONDS = 2.0  # an echo vouches for the time since its heartbeat was sent
 TAKEOVER_SECONDS = 2.6  # longer than a vouch, so that no two daemons hold orders
 
@@ -47,9 +48,9 @@
 
     def __init__(self, own, now, lease_now):
         self._sent = {}
-        self._started_at = now
         self._lease_started_at = lease_now
         self.own = own
+        self.started_at = now
         self.number = 0
         self.by_name = {}
         self.registered = frozenset()
@@ -137,7 +138,13 @@
         return lease_now - latest > TAKEOVER_SECONDS
 
     def share(self, now):
-        """Return the part of all machines that this daemon hears, itself included."""
+        """
+        Return the part of all machines that this daemon hears, itself included.
+
+        Just after its start all count as heard, as they may only be about to speak.
+        """
+        if now - self.started_at < FIRST_WORDS_SECONDS:
+            return 1.0
         total = len(self.by_name) + 1
         return len(self.heard(now)) / total
 
--- a/rosemarypath/shares.py
+++ b/rosemarypath/shares.py
@@ -12,7 +12,7 @@
 
 __all__ = ["BudgetShares", "RetryShares"]
 
-START_SECONDS = 0.5  # seconds of a customer's rate that a fresh daemon may grant
+START_SECONDS = 1.0  # a restart takes longer, and its customers' buckets fill meanwhile
 RETRY_MARGIN = 0.85  # part of the retry bound that is used
 RETRY_BURST = 0.5  # part of the slack that may be spent at once; the rest flows in
 
