Log the first event and the worst gap of each stream; a failed try on gaps

Ruled out as the cause of those gaps: uneven choice between engines that are alike; three engines carry all.

--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -49,6 +49,9 @@
     head: object = None
     failure: tuple | None = None
     events: object = None
+    first_at: float | None = None
+    last_at: float = 0.0
+    worst_gap: float = 0.0
     priority: int = 5
 
     @property
@@ -56,6 +59,14 @@
         """Return the request's identifier."""
         return self.demand.request
 
+    def note_event(self, at):
+        """Record that events are passed on at the time `at`."""
+        if self.first_at is None:
+            self.first_at = at
+        else:
+            self.worst_gap = max(self.worst_gap, at - self.last_at)
+        self.last_at = at
+
     def left(self, at):
         """Return the seconds left at the time `at`."""
         return self.until - at
@@ -377,6 +388,7 @@
                     return self._lost(course, state, started, "broken", "endless event")
                 if not whole:
                     continue
+                course.note_event(now())
                 if not progress.has_first:
                     progress.has_first = True
                     state.note_first_byte(course.demand)
@@ -468,6 +480,8 @@
             sends=course.sends,
             events=course.events.count,
             seconds=round(seconds, 4),
+            first=round((course.first_at or now()) - course.request.arrived, 4),
+            gap=round(course.worst_gap, 4),
             detail=message,
         )
 
