--- a/rosemarypath/backends.py
+++ b/rosemarypath/backends.py
@@ -15,8 +15,6 @@
 UNSTABLE_SECONDS = 3.0  # after a failure of the store, removals may be lapses
 COLD_WINDOW = 1.0  # seconds over which sends to a cold back end are bounded
 HOLDER_WORD_SECONDS = 2.0  # the order holder's word beats the list's for so long
-GAP_SHARE = 0.1  # weight of a new gap between events in the moving average
-GAP_HALF_LIFE = 1.0  # seconds; an engine's prompts are read in tenths of a second
 SLOW_SHARE = 0.1  # weight of a new latency in the moving average
 
 
@@ -39,8 +37,6 @@
     def __init__(self, entry, now):
         self._failures = 0.0
         self._failed_at = now
-        self._gap = 0.0
-        self._gap_at = now
         self._sent = deque()
         self._peer_loads = {}
         self.entry = entry
@@ -150,17 +146,6 @@
         self._failed_at = now
         self.latency += SLOW_SHARE * (seconds - self.latency)
 
-    def note_gap(self, now, seconds):
-        """Record the time between two events of a stream."""
-        known = self.gap(now)
-        self._gap = known + GAP_SHARE * (seconds - known)
-        self._gap_at = now
-
-    def gap(self, now):
-        """Return the recent time between two events, fading without news."""
-        age = max(0.0, now - self._gap_at)
-        return self._gap * 0.5 ** (age / GAP_HALF_LIFE)
-
     def failures(self, now):
         """Return the recent failures, decayed."""
         age = max(0.0, now - self._failed_at)
--- a/rosemarypath/choice.py
+++ b/rosemarypath/choice.py
@@ -22,8 +22,6 @@
 HOME_STEP = 0.02  # seconds of difference that keep an adapter at its home
 RUNNING_SECONDS = 0.002  # what one more running request costs a new one
 QUEUE_SECONDS = 0.05  # what each request beyond the slots costs a new one
-GAP_FREE_SECONDS = 0.06  # between events of an engine that reads few prompts
-GAP_WEIGHT = 2.0  # seconds a prompt waits, by second between events
 FAILURE_SECONDS = 0.4  # what one recent failure costs
 DISTANCE_SECONDS = 0.001  # one way between two zones
 OLD_VERSION_SECONDS = 3.0  # an old version may start requests for so long
@@ -142,7 +140,6 @@
     if not demand.model:
         return cost + running / state.back_end.capacity * max(state.latency, 0.01)
     cost += state.prompt_tokens(now) / PREFILL_TOKENS_PER_SECOND
-    cost += max(0.0, state.gap(now) - GAP_FREE_SECONDS) * GAP_WEIGHT
     if not is_held:
         cost += LOAD_SECONDS + HOME_STEP * rank
     elif state.adapters.get(demand.held_name, 0) < facts.version:
