Explain failed requests from decision logs; keep the counts of lines left out

Cause of the counts' loss: the line that tells them went through the same bound and was itself left out, with the counts. Test: a pipe that nobody reads (failed before).

--- a/rosemarypath/backends.py
+++ b/rosemarypath/backends.py
@@ -66,9 +66,7 @@
 
     def running(self, now):
         """Return the requests on their way from all daemons."""
-        return self.own.running + sum(
-            load.running for load in self._fresh_peers(now)
-        )
+        return self.own.running + sum(load.running for load in self._fresh_peers(now))
 
     def prompt_tokens(self, now):
         """Return the prompt tokens not yet read, from all daemons."""
--- a/rosemarypath/commands/fleet.py
+++ b/rosemarypath/commands/fleet.py
@@ -5,6 +5,8 @@
 Commands on the running fleet: status, explain, drain and forget.
 """
 
+import dataclasses
+import sys
 from urllib.parse import quote
 
 import msgspec
@@ -16,6 +18,7 @@
     command,
 )
 from rosemarypath.errors import NotFoundError
+from rosemarypath.explaining import explain_request, read_records
 from rosemarypath.machine import DRAINING, UP
 from rosemarypath.membership import ROSTER
 from rosemarypath.roster import Roster
@@ -23,6 +26,8 @@
 
 __all__ = ["DrainCommand", "ExplainCommand", "ForgetCommand", "StatusCommand"]
 
+EXIT_NOT_FOUND = 1
+
 
 @command("status")
 class StatusCommand(Command):
@@ -59,19 +64,54 @@
 
 @command("explain")
 class ExplainCommand(Command):
-    """Tell where a route leads, or what became of a request."""
+    """Tell where a route leads, or what became of a request.
+
+    With --logs it reads the daemons' decision logs in place of asking a daemon.
+    """
 
     @classmethod
     def add_arguments(cls, parser):
-        parser.add_argument("name", help="a route, or the X-Request-Id of an answer")
-        add_daemon_argument(parser, required=True)
+        parser.add_argument("name", help="a route, or the identifier of a request")
+        add_daemon_argument(parser, required=False)
+        parser.add_argument(
+            "--logs",
+            nargs="+",
+            metavar="FILE",
+            help="decision logs of one daemon or more; - for standard input",
+        )
 
     async def run(self, context, options):
+        if options.logs:
+            return self._explain_logs(context, options)
         document = await context.ask_daemon(f"/explain/{quote(options.name)}")
         lines = [f"{name}: {value}" for name, value in document.items()]
         context.show(document, lines)
         return 0
 
+    def _explain_logs(self, context, options):
+        records = []
+        unreadable = 0
+        for path in options.logs:
+            found, failed = _read_log(path)
+            records += found
+            unreadable += failed
+        explanation = explain_request(options.name, records, unreadable)
+        context.show(dataclasses.asdict(explanation), explanation.lines)
+        return 0 if explanation.records else EXIT_NOT_FOUND
+
+
+def _read_log(path):
+    """Read one log; raises `NotFoundError` where there is no such file."""
+    if path == "-":
+        return read_records(sys.stdin)
+    try:
+        with open(path, encoding="utf-8", errors="replace") as file:
+            return read_records(file)
+    except OSError as error:
+        raise NotFoundError(
+            f"{path}: {error.strerror}", "name a readable log, or - for standard input"
+        ) from error
+
 
 @command("drain")
 class DrainCommand(Command):
--- a/rosemarypath/decisionlog.py
+++ b/rosemarypath/decisionlog.py
@@ -52,6 +52,9 @@
         if not self._has_room(event, at):
             self._dropped[event] += 1
             return
+        self._append(at, part, event, fields)
+
+    def _append(self, at, part, event, fields):
         record = {"at": round(at, 4), "machine": self._machine, "part": part}
         record["event"] = event
         record.update(fields)
@@ -61,9 +64,9 @@
 
     def flush(self):
         """Hand the waiting lines to standard output as far as it takes them."""
-        if self._dropped:
-            dropped, self._dropped = dict(self._dropped), Counter()
-            self.write("log", "left_out", counts=dropped)
+        if self._dropped and self._size <= BUFFER_BYTES:
+            counts, self._dropped = dict(self._dropped), Counter()
+            self._append(time.time(), "log", "left_out", {"counts": counts})
         if not self._lines or self._descriptor is None:
             return
         data = b"".join(self._lines)
--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -193,7 +193,9 @@
         self._mesh.close()
 
     def _reload(self):
-        self._log.write("daemon", "reload", note="addresses and bounds stay until restart")
+        self._log.write(
+            "daemon", "reload", note="addresses and bounds stay until restart"
+        )
 
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
@@ -254,7 +256,9 @@
         for name in changed:
             entry = self._dialect.decode_server(mirror.objects[name])
             if entry is None:
-                self._log.write("servers", "error", name=name, detail="unreadable entry")
+                self._log.write(
+                    "servers", "error", name=name, detail="unreadable entry"
+                )
                 continue
             known = self._fleet.back_ends.states.get(name)
             self._fleet.set_back_end(entry, at)
--- /dev/null
+++ b/rosemarypath/explaining.py
@@ -0,0 +1,166 @@
+"""
+rosemarypath.explaining
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Reads decision logs and tells what became of a request, and why.
+"""
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+__all__ = ["Explanation", "explain_request", "read_records"]
+
+CAUSES = {
+    "over_budget": "the customer's budget was used up; see its contract below",
+    "unknown_key": "no customer holds the key in the configuration in force",
+    "no_route": "no route in force begins the path on that host",
+    "no_configuration": "the daemon had not read a configuration since its start",
+    "stopping": "the daemon was stopping and its time to take requests was over",
+    "no_back_end": "no back end of the service was in service",
+    "cannot_load": "no engine could load the adapter: see the loads above",
+    "all_tried_or_cold": "every back end that may run it was tried or is cold",
+    "unreachable": "no connection to the back end could be made",
+    "rejected": "the back end said that it did not run the request",
+    "broken": "the back end's answer broke off or was not valid",
+    "silent": "the back end sent nothing for too long",
+    "failed": "the back end answered with an error of its own",
+    "deadline": "the deadline passed",
+}
+CONTEXT_EVENTS = {"adopted", "contract", "lost", "regained", "leaving", "removed"}
+CONTEXT_SECONDS = 3.0  # changes this long before the end are shown beside it
+
+
+@dataclass(frozen=True)
+class Explanation:
+    """
+    A request's course.
+
+    `records` are its log lines in order, `context` what the same daemons learned
+    shortly before its end, `outcome` its end and `cause` why, in a sentence.
+    """
+
+    request: str
+    records: tuple
+    context: tuple = ()
+    outcome: str = ""
+    cause: str = ""
+    unreadable: int = 0
+    machines: tuple = field(default_factory=tuple)
+
+    @property
+    def lines(self):
+        """Return the course as text, one decision a line."""
+        if not self.records:
+            return [f"{self.request}: no log line names it"]
+        start = self.records[0]["at"]
+        lines = [_line(record, start) for record in self.records]
+        if self.context:
+            lines.append("what its daemons learned shortly before:")
+            lines += [f"  {_line(record, start)}" for record in self.context]
+        lines.append(f"outcome: {self.outcome}")
+        lines.append(f"cause: {self.cause}")
+        if self.unreadable:
+            lines.append(f"{self.unreadable} lines could not be read and were left out")
+        return lines
+
+
+def read_records(lines):
+    """
+    Return the records in an iterable of log lines, and how many were unreadable.
+
+    What stands before the first brace of a line is ignored, so that lines with a
+    prefix of another program can be read too.
+    """
+    records = []
+    unreadable = 0
+    for line in lines:
+        start = line.find("{")
+        if start < 0:
+            continue
+        try:
+            record = msgspec.json.decode(line[start:].encode())
+        except (msgspec.DecodeError, UnicodeEncodeError):
+            unreadable += 1
+            continue
+        if isinstance(record, dict) and "at" in record and "event" in record:
+            records.append(record)
+        else:
+            unreadable += 1
+    return records, unreadable
+
+
+def explain_request(request, records, unreadable=0):
+    """Return the `Explanation` of `request` from the records of all daemons."""
+    own = [record for record in records if record.get("request") == request]
+    own.sort(key=lambda record: record["at"])
+    if not own:
+        return Explanation(request, (), unreadable=unreadable)
+    machines = {record["machine"] for record in own}
+    end = own[-1]["at"]
+    context = [
+        record
+        for record in records
+        if record["machine"] in machines
+        and record["event"] in CONTEXT_EVENTS
+        and not record.get("request")
+        and end - CONTEXT_SECONDS <= record["at"] <= end
+    ]
+    outcome, cause = _judge(own)
+    return Explanation(
+        request,
+        tuple(own),
+        tuple(sorted(context, key=lambda record: record["at"])),
+        outcome,
+        cause,
+        unreadable,
+        tuple(sorted(machines)),
+    )
+
+
+def _judge(records):
+    """Return the outcome and the cause that the records of one request show."""
+    last = records[-1]
+    event = last["event"]
+    if event == "left":
+        return "the caller left", _why_left(records)
+    if event == "answered":
+        slow = _why_late(last)
+        return f"answered ({last.get('detail')})", slow or "nothing went wrong here"
+    why = last.get("why") or event
+    cause = CAUSES.get(why, why)
+    earlier = [r["event"] for r in records[:-1] if r["event"] in CAUSES]
+    if earlier and why != earlier[-1]:
+        cause += f"; before that: {', '.join(earlier)}"
+    if event in {"refused", "failed"}:
+        return f"{event} with status {last.get('status')}", cause
+    return "no end is logged", "the daemon ended or was cut off while it ran"
+
+
+def _why_left(records):
+    sends = [r for r in records if r.get("part") == "send"]
+    if sends:
+        last = sends[-1]
+        return f"the last send ended as {last['event']} after {last['seconds']} s"
+    loads = [r for r in records if r.get("part") == "load"]
+    if loads:
+        return f"it waited for loads: {', '.join(str(r.get('why')) for r in loads)}"
+    return "no answer had come from the back end when it left"
+
+
+def _why_late(record):
+    first = record.get("first", 0.0)
+    gap = record.get("gap", 0.0)
+    return f"first byte after {first} s, longest pause {gap} s"
+
+
+def _line(record, start):
+    shown = {
+        name: value
+        for name, value in record.items()
+        if name not in {"at", "machine", "part", "event", "request"}
+        and value not in ("", None)
+    }
+    facts = " ".join(f"{name}={value}" for name, value in shown.items())
+    offset = record["at"] - start
+    return f"{offset:+8.3f} {record['machine']} {record['part']}: {record['event']} {facts}"
--- a/rosemarypath/peers.py
+++ b/rosemarypath/peers.py
@@ -108,7 +108,9 @@
 
     def heard(self, now):
         """Return the names of the machines that spoke lately, with this one."""
-        names = [n for n, p in self.by_name.items() if now - p.heard_at < SILENT_SECONDS]
+        names = [
+            n for n, p in self.by_name.items() if now - p.heard_at < SILENT_SECONDS
+        ]
         return [self.own.name, *names]
 
     def all_vouch(self, kind, revision, lease_now):
--- a/rosemarypath/platform/requests.py
+++ b/rosemarypath/platform/requests.py
@@ -141,7 +141,9 @@
     try:
         return float(value) / MILLISECONDS
     except ValueError as error:
-        raise BadRequestError("the deadline is not a number", "send X-Deadline-Ms in ms") from error
+        raise BadRequestError(
+            "the deadline is not a number", "send X-Deadline-Ms in ms"
+        ) from error
 
 
 def _key(value):
@@ -158,4 +160,6 @@
         prompt, _, output = value.partition(b",")
         return int(prompt), int(output or 0)
     except ValueError as error:
-        raise BadRequestError("the token usage is not two numbers", "send IN,OUT") from error
+        raise BadRequestError(
+            "the token usage is not two numbers", "send IN,OUT"
+        ) from error
--- a/rosemarypath/shares.py
+++ b/rosemarypath/shares.py
@@ -43,7 +43,9 @@
     @property
     def spent(self):
         """Return the tokens granted here since the start, by customer."""
-        return {name: level.spent for name, level in self._levels.items() if level.spent}
+        return {
+            name: level.spent for name, level in self._levels.items() if level.spent
+        }
 
     def open(self, customers, share, now):
         """Begin to fill the buckets of `customers`, before their first request."""
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -162,7 +162,10 @@
             return 200
         if adapter in engine.coming:
             return 202
-        if len(engine.adapters.keys() | engine.coming.keys() | {adapter}) > engine.places:
+        if (
+            len(engine.adapters.keys() | engine.coming.keys() | {adapter})
+            > engine.places
+        ):
             raise EngineLimitError(f"{self.name} holds {engine.adapters}")
         engine.orders += 1
         engine.coming[adapter] = version
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -88,7 +88,8 @@
 def test_a_cold_back_end_gets_no_more_than_its_share():
     entry = engine("a").entry
     cold = BackEndState(
-        BackEndEntry(back_end=entry.back_end, cold_seconds=3.0, models=entry.models), 0.0
+        BackEndEntry(back_end=entry.back_end, cold_seconds=3.0, models=entry.models),
+        0.0,
     )
     cold.set_models(entry.models)
     facts = ChoiceFacts(zone="z1", cold_sends=2)
--- /dev/null
+++ b/tests/test_explaining.py
@@ -0,0 +1,144 @@
+"""
+tests.test_explaining
+~~~~~~~~~~~~~~~~~~~~~
+
+Causes of failed requests from logs alone.
+"""
+
+import asyncio
+import json
+import os
+import time
+
+import pytest
+
+from rosemarypath.cmdline import main
+from rosemarypath.decisionlog import DecisionLog
+from rosemarypath.explaining import explain_request, read_records
+from tests.edgefleet import configuration, running_fleet
+
+
+def record(event, at=1.0, part="entry", **fields):
+    return {"at": at, "machine": "e1", "part": part, "event": event, **fields}
+
+
+def test_lines_with_prefixes_are_read_and_broken_ones_counted():
+    lines = [
+        '  1.2 edge-1 {"at": 1, "machine": "e", "part": "entry", "event": "left"}',
+        "no record",
+        '{"at": 1, "ev',
+        "{}",
+    ]
+    records, unreadable = read_records(lines)
+    assert len(records) == 1
+    assert unreadable == 2
+
+
+def test_the_cause_of_a_refusal_names_what_went_before():
+    records = [
+        record("admitted", 1.0, request="r"),
+        record("lost", 1.1, "load", request="r", why="no_place"),
+        record("lost", 0.9, "store", why="reset"),
+        record("refused", 1.2, request="r", why="cannot_load", status=503),
+        record("admitted", 1.0, request="other"),
+    ]
+    explanation = explain_request("r", records)
+    assert explanation.outcome == "refused with status 503"
+    assert "load the adapter" in explanation.cause
+    assert [r["why"] for r in explanation.context] == ["reset"]
+
+
+def test_a_request_that_nobody_logged_is_said_so():
+    assert "no log line" in explain_request("r", []).lines[0]
+
+
+@pytest.mark.parametrize(
+    ("spoil", "path", "cause"),
+    [
+        ("resets", b"/write/x", "broke off"),
+        ("hangs", b"/write/x", "sent nothing"),
+        ("sheds", b"/write/x", "did not run"),
+    ],
+)
+def test_logs_of_a_daemon_tell_the_cause(
+    tmp_path, monkeypatch, capsys, spoil, path, cause
+):
+    log = tmp_path / "edge.log"
+
+    async def scenario():
+        async with running_fleet() as fleet:
+            for replica in fleet.ledgers:
+                setattr(replica.faults, spoil, 99)
+            call = fleet.call(path, id="bad", method=b"POST", body=b"o", deadline=400)
+            assert (await call).status >= 500
+
+    with open(log, "wb") as sink:
+        monkeypatch.setattr(
+            "tests.edgefleet.DecisionLog",
+            lambda machine, descriptor: _Flushing(machine, sink.fileno()),
+        )
+        asyncio.run(scenario())
+    assert main(["explain", "bad", "--logs", str(log)]) == 0
+    assert cause in capsys.readouterr().out
+
+
+class _Flushing(DecisionLog):
+    """Writes each line at once."""
+
+    def write(self, part, event, **fields):
+        super().write(part, event, **fields)
+        self.flush()
+
+
+def test_a_missing_log_is_an_error_with_a_remedy(capsys):
+    assert main(["explain", "r", "--logs", "/none/such"]) != 0
+    assert "name a readable log" in capsys.readouterr().err
+
+
+def test_a_budget_refusal_is_explained_with_its_contract(tmp_path):
+    log = tmp_path / "edge.log"
+
+    async def scenario(sink):
+        async with running_fleet() as fleet:
+            fleet.configure(configuration(2, rate=10, burst=10))
+            await asyncio.sleep(0.4)
+            for number in range(3):
+                await fleet.call(b"/read/x", id=f"q{number}", tokens="90,10")
+
+    with open(log, "wb") as sink:
+        patch = pytest.MonkeyPatch()
+        patch.setattr(
+            "tests.edgefleet.DecisionLog",
+            lambda machine, descriptor: _Flushing(machine, sink.fileno()),
+        )
+        asyncio.run(scenario(sink))
+        patch.undo()
+    records, unreadable = read_records(log.read_text().splitlines())
+    assert unreadable == 0
+    explanation = explain_request("q2", records)
+    assert "budget" in explanation.cause
+    contracts = [r for r in explanation.context if r["event"] == "contract"]
+    assert contracts and contracts[-1]["rate"] == 10
+
+
+def test_a_blocked_reader_delays_nobody_and_is_counted(tmp_path):
+    reader, writer = os.pipe()
+    log = DecisionLog("e", writer)
+    started = time.monotonic()
+    for number in range(20000):
+        log.write("entry", f"event-{number % 3}", request="r" * 50)
+        if number % 100 == 0:
+            log.flush()
+    assert time.monotonic() - started < 2.0
+    received = b""
+    os.set_blocking(reader, False)
+    for _ in range(200):
+        log.flush()
+        try:
+            received += os.read(reader, 1 << 20)
+        except BlockingIOError:
+            break
+    lines = [json.loads(line) for line in received.splitlines()]
+    assert any(line["event"] == "left_out" for line in lines)
+    os.close(reader)
+    os.close(writer)
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -51,7 +51,9 @@
 
 
 @settings(max_examples=100, deadline=None)
-@given(st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), max_size=20), st.data())
+@given(
+    st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), max_size=20), st.data()
+)
 def test_lists_and_watches_in_any_order_end_in_the_same_state(writes, data):
     history = []
     state = {}
