--- a/rosemarypath/decisionlog.py
+++ b/rosemarypath/decisionlog.py
@@ -16,6 +16,7 @@
 LINES_PER_SECOND = 300  # a machine of one core spends under 1 % of it on them
 FAILURE_LINES_PER_SECOND = 300  # on top, for lines that tell of a failure
 BUFFER_BYTES = 256 * 1024  # what waits for a reader that is slow
+PIECE_BYTES = 4096  # a pipe takes as much in one piece
 FLUSH_SECONDS = 0.2  # between two writes
 STDOUT = 1
 
@@ -69,18 +70,32 @@
             self._append(time.time(), "log", "left_out", {"counts": counts})
         if not self._lines or self._descriptor is None:
             return
-        data = b"".join(self._lines)
+        while self._lines and self._descriptor is not None:
+            if not self._write_piece():
+                return
+
+    def _write_piece(self):
+        """Write some whole lines, which a pipe takes whole; return success."""
+        count = 0
+        size = 0
+        for line in self._lines:
+            if count and size + len(line) > PIECE_BYTES:
+                break
+            size += len(line)
+            count += 1
+        data = b"".join(self._lines[:count])
         try:
             sent = os.write(self._descriptor, data)
         except BlockingIOError:
-            sent = 0
+            return False
         except OSError:
             self._descriptor = None
-            return
+            return False
         self.written += sent
+        self._size -= sent
         rest = data[sent:]
-        self._lines = [rest] if rest else []
-        self._size = len(rest)
+        self._lines[:count] = [rest] if rest else []
+        return not rest
 
     def _has_room(self, event, at):
         if self._size > BUFFER_BYTES:
--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -14,7 +14,7 @@
 from rosemarypath.clock import lease_now, now
 from rosemarypath.decisionlog import FLUSH_SECONDS, DecisionLog
 from rosemarypath.edgemetrics import EdgeMetrics
-from rosemarypath.errors import ConflictError, NotFoundError, RosemarypathError
+from rosemarypath.errors import NotFoundError, RosemarypathError
 from rosemarypath.fleet import FleetView
 from rosemarypath.forwarding import Forwarder
 from rosemarypath.holding import HOLDER_KIND, Holdings
@@ -42,7 +42,6 @@
 LINK_SILENCE = 0.8  # seconds without an answer after which a link is dialled anew
 HOLDING_SECONDS = 0.3  # between two looks at who gives orders
 FIRST_HOLDING_SECONDS = 0.05  # the same just after a start, until some are known
-FRESH_SECONDS = 2.0  # a daemon's start is over after that
 RELAY_SECONDS = 0.25  # a copy that is behind a peer's for so long is asked for
 REGISTER_RETRY = 0.3  # seconds between tries to register
 FORGET_SECONDS = 12.0  # a machine silent for so long is struck from the register
@@ -181,6 +180,12 @@
         self._log.write("daemon", "stop", idle=self._callers.is_idle)
         self.kill()
 
+    def freeze(self):
+        """Stop to speak and to answer without closing anything, as a test of others."""
+        for task in list(self._tasks):
+            task.cancel()
+        self._mesh.mute()
+
     def kill(self):
         """Drop everything at once."""
         self._stopping.set()
@@ -419,7 +424,7 @@
     async def _keep_holdings(self):
         holdings = self._fleet.holdings
         while True:
-            is_fresh = not self._fleet.keepers and self._is_fresh(now())
+            is_fresh = not self._fleet.keepers and self._fleet.is_fresh(now())
             await asyncio.sleep(FIRST_HOLDING_SECONDS if is_fresh else HOLDING_SECONDS)
             if self._stopping.is_set() or not self._peers.is_known:
                 continue
@@ -431,9 +436,6 @@
                     self._health.note_failure(now(), error.message)
             self._match_keepers(holdings)
 
-    def _is_fresh(self, at):
-        return at - self._peers.started_at < FRESH_SECONDS
-
     async def _keep_holding(self, holdings, state):
         if holdings.wants(state.name, now(), lease_now()):
             is_taken = await holdings.take(state.name, lease_now())
--- a/rosemarypath/explaining.py
+++ b/rosemarypath/explaining.py
@@ -163,4 +163,5 @@
     }
     facts = " ".join(f"{name}={value}" for name, value in shown.items())
     offset = record["at"] - start
-    return f"{offset:+8.3f} {record['machine']} {record['part']}: {record['event']} {facts}"
+    what = f"{record['part']}: {record['event']}"
+    return f"{offset:+8.3f} {record['machine']} {what} {facts}"
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -5,6 +5,7 @@
 What one daemon knows of the fleet, for deciding about requests.
 """
 
+from rosemarypath import clock
 from rosemarypath.backend import ENGINE, HeldModel
 from rosemarypath.backends import UNSTABLE_SECONDS, BackEnds
 from rosemarypath.loading import LoadOutcome
@@ -13,7 +14,9 @@
 
 __all__ = ["FleetView"]
 
+ASK_SECONDS = 0.5  # twice a load; a holder that is silent for longer is given up
 ASK_MARGIN = 0.05  # seconds that an answer between two daemons may take
+FRESH_SECONDS = 2.0  # a daemon's start is over after that
 UNKNOWN_VERSION = (0, float("-inf"))
 
 
@@ -56,7 +59,8 @@
         self.table = table
         contracts = set(table.customers.values())
         self.budgets.open(contracts, self._peers.share(now), now)
-        for contract in contracts:
+        changed = contracts - set(known.customers.values()) if known else contracts
+        for contract in changed:
             budget = contract.budget
             self._log.write(
                 "budgets",
@@ -83,6 +87,10 @@
         """Return the newest version of a held name, 0 where none is announced."""
         return self._versions.get(name, UNKNOWN_VERSION)[0]
 
+    def is_fresh(self, now):
+        """Return whether this daemon has just started and may not know all yet."""
+        return now - self._peers.started_at < FRESH_SECONDS
+
     def usable(self, service):
         """Return the states of back ends of `service` that take new work."""
         return self.back_ends.usable(service)
@@ -126,9 +134,7 @@
         peer = self._peers.by_name.get(holder.machine) if holder else None
         if peer is None:
             return LoadOutcome(False, "no_holder")
-        ask = LoadAsk(state.name, model, adapter, seconds)
-        identity = peer.machine.identity
-        reply = await self._mesh.ask(identity, ask, seconds + ASK_MARGIN)
+        reply = await self._ask_holder(peer, state.name, model, adapter, seconds)
         if reply is None:
             return LoadOutcome(False, "holder_silent")
         if reply.is_held:
@@ -136,6 +142,20 @@
             state.adapters[f"{model}/{adapter}"] = version
         return LoadOutcome(reply.is_held, reply.reason)
 
+    async def _ask_holder(self, peer, engine, model, adapter, seconds):
+        """Ask until there is an answer, as long as the holder is heard."""
+        until = clock.now() + seconds
+        while True:
+            left = min(ASK_SECONDS, until - clock.now())
+            ask = LoadAsk(engine, model, adapter, left)
+            identity = peer.machine.identity
+            reply = await self._mesh.ask(identity, ask, left + ASK_MARGIN)
+            is_final = reply is not None and reply.reason != "load_timeout"
+            if is_final or clock.now() >= until:
+                return reply
+            if clock.now() - peer.heard_at > ASK_SECONDS:
+                return reply
+
     def note_missing(self, state, name):
         """Record that an engine does not hold what it was believed to hold."""
         keeper = self.keepers.get(state.name)
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -22,6 +22,8 @@
 MOST_SENDS = 6  # sends of one request, rejected ones included
 RESEND_PAUSE = 0.02  # seconds before a back end that rejected a request is asked again
 LOAD_WAIT_SHARE = 0.6  # part of the time left that a request waits for a load
+PLACE_WAIT = 1.0  # seconds; streams that end free places of adapters by then
+PLACE_PAUSE = 0.1  # seconds between two looks for a place
 FIRST_EVENT_SILENCE = 1.6  # seconds; callers leave a silent stream after about 2.4
 GAP_SILENCE = 1.2  # seconds between two events after which a stream moves on
 ANSWER_SILENCE_SHARE = 0.5  # part of the time after which an idempotent call moves on
@@ -49,6 +51,7 @@
     head: object = None
     failure: tuple | None = None
     events: object = None
+    waits_since: float | None = None
     first_at: float | None = None
     last_at: float = 0.0
     worst_gap: float = 0.0
@@ -186,6 +189,10 @@
                 return _timed_out(course)
             choice = self._choose(course, at)
             if isinstance(choice, Refusal):
+                if self._may_wait_for_load(course, choice, at):
+                    course.unloadable.clear()
+                    await asyncio.sleep(PLACE_PAUSE)
+                    continue
                 outcome = self._no_back_end(course, choice)
                 return self._final(course, outcome, connection)
             if choice.needs_load:
@@ -201,6 +208,16 @@
             if outcome.code == "rejected":
                 await asyncio.sleep(RESEND_PAUSE)
 
+    def _may_wait_for_load(self, course, refusal, at):
+        """Return whether a place or a holder of orders may still turn up in time."""
+        if refusal.reason != "cannot_load" or course.left(at) < PLACE_WAIT:
+            return False
+        if not course.unloadable and not self._fleet.is_fresh(at):
+            return False
+        if course.waits_since is None:
+            course.waits_since = at
+        return at - course.waits_since < PLACE_WAIT
+
     def _final(self, course, outcome, connection):
         """Return the outcome to answer with, ``None`` when a back end's was used."""
         if course.failure is not None and course.head is None:
--- a/rosemarypath/holding.py
+++ b/rosemarypath/holding.py
@@ -5,9 +5,9 @@
 Which daemon gives orders to which engine, and with which fencing token.
 
 Each engine has one object in the store that names the holder of its orders; its
-version is the fencing token. A holder stays one through restarts of its machine. Another
-daemon takes over only from a holder that it has not heard for longer than the holder
-relies on an echo, and then waits for a lease before its first order.
+version is the fencing token. A holder stays one through restarts of its machine.
+Another daemon takes over only from a holder that it has not heard for longer than the
+holder relies on an echo, and then waits for a lease before its first order.
 """
 
 import asyncio
--- a/rosemarypath/link.py
+++ b/rosemarypath/link.py
@@ -176,6 +176,10 @@
         for writer in list(self._accepted):
             writer.transport.abort()
 
+    def mute(self):
+        """Ignore whatever arrives from now on, as a frozen daemon does."""
+        self._handlers.clear()
+
     def on(self, message_type, handler):
         """
         Call ``handler(sender, message)`` for each message of `message_type`.
--- a/rosemarypath/membership.py
+++ b/rosemarypath/membership.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import secrets
 import time
 
 import msgspec
--- a/rosemarypath/peers.py
+++ b/rosemarypath/peers.py
@@ -100,11 +100,18 @@
         return peer
 
     def is_heard(self, name, now):
-        """Return whether the machine `name` spoke lately; true for this one."""
+        """
+        Return whether the machine `name` spoke lately; true for this one, and for all
+        that are registered just after this daemon's start.
+        """
         if name == self.own.name:
             return True
         peer = self.by_name.get(name)
-        return peer is not None and now - peer.heard_at < SILENT_SECONDS
+        if peer is None:
+            return False
+        if now - self.started_at < FIRST_WORDS_SECONDS:
+            return True
+        return now - peer.heard_at < SILENT_SECONDS
 
     def heard(self, now):
         """Return the names of the machines that spoke lately, with this one."""
--- a/rosemarypath/shares.py
+++ b/rosemarypath/shares.py
@@ -123,7 +123,7 @@
             self._levels[service][0] += self._ratio
 
     def spend(self, service, machines, now):
-        """Take one repeated send of `machines` daemons' bound; return whether it was there."""
+        """Take one repeated send of the bound of `machines` daemons; return success."""
         part = self._slack / machines
         most = max(1.0, part * RETRY_BURST)
         level = self._levels.setdefault(service, [most, now])
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -57,6 +57,7 @@
     unsigned: int = 0
     hangs: int = 0
     mute_orders: int = 0
+    slow_events: float = EVENT_SECONDS
 
 
 @dataclass
@@ -241,5 +242,5 @@
                 connection.abort()
                 return
             connection.write(event)
-            await asyncio.sleep(EVENT_SECONDS)
+            await asyncio.sleep(self.faults.slow_events)
         connection.end()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -267,3 +267,41 @@
         assert 0.0 < float(refused.header(b"retry-after")) < 1.0
 
     play(scenario)
+
+
+def test_a_request_waits_a_moment_for_a_place_that_streams_give_back():
+    async def scenario(fleet):
+        fleet.engines[1].close()
+        fleet.store.remove("servers", fleet.engines[1].name)
+        engine = fleet.engines[0]
+        engine.faults.slow_events = 0.12
+        await asyncio.sleep(0.4)
+        calls = [
+            fleet.call(b"/ask/x", id=f"p{n}", method=b"POST", adapter=f"a{n}")
+            for n in range(6)
+        ]
+        replies = await asyncio.gather(*calls)
+        assert [reply.status for reply in replies] == [200] * 6
+        assert len(engine.engine.adapters) <= engine.engine.places
+
+    play(scenario)
+
+
+def test_a_silent_holder_of_orders_does_not_hold_a_request():
+    async def scenario(fleet):
+        holder = next(d for d in fleet.daemons if d.ordered_engines)
+        other = next(n for n, d in enumerate(fleet.daemons) if d is not holder)
+        silent = set(holder.ordered_engines)
+        holder.freeze()
+        loop = asyncio.get_running_loop()
+        for number in range(6):
+            started = loop.time()
+            reply = await fleet.call(
+                b"/ask/x", daemon=other, method=b"POST", adapter=f"s{number}"
+            )
+            if reply.status == 200:
+                assert loop.time() - started < 1.5
+            elif len(silent) < len(fleet.engines):
+                raise AssertionError("the other engine's holder could have loaded")
+
+    play(scenario, daemons=3)
