Hash requests of split routes; bound headers in one packet; tests by module

Found by new tests (each failed first): a request on a route with weights raised TypeError in its task and left its caller waiting (the hash takes bytes); headers over the limit that came in one packet were served. A fault in a handler now ends the connection with a log line.

--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -99,7 +99,15 @@
         self._metrics = metrics
 
     async def handle(self, request, connection):
-        """Answer one request on its caller's connection."""
+        """Answer one request on its caller's connection; nothing is raised."""
+        try:
+            await self._handle(request, connection)
+        except Exception as error:  # A fault here must not leave a caller waiting.
+            self._log.write("entry", "error", detail=repr(error))
+            self._metrics.count("errors")
+            connection.abort()
+
+    async def _handle(self, request, connection):
         if request.status:
             self._log.write("entry", "rejected", status=request.status)
             connection.answer(request.status, [], closes=True)
--- a/rosemarypath/listener.py
+++ b/rosemarypath/listener.py
@@ -67,6 +67,7 @@
         self._body = []
         self._body_size = 0
         self._header_size = 0
+        self._field_size = 0
         self._timer = None
         self._task = None
         self._is_refused = False
@@ -122,12 +123,17 @@
 
     def on_url(self, url):
         self._request.path += url
+        self._field_size = len(self._request.path)
 
     def on_header(self, name, value):
+        self._field_size += len(name) + len(value)
         self._request.headers.append((name.lower(), value))
 
     def on_headers_complete(self):
         self._header_size = -1
+        if self._field_size > self._listener.limits.header_bytes:
+            self._refuse(HEADERS_TOO_LARGE)
+            return
         self._set_timer(self._listener.limits.idle_timeout)
         request = self._request
         request.method = self._parser.get_method()
@@ -137,6 +143,8 @@
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data):
+        if self._is_refused:
+            return
         self._body_size += len(data)
         if self._body_size > self._listener.limits.body_bytes:
             self._refuse(CONTENT_TOO_LARGE)
--- a/rosemarypath/routing.py
+++ b/rosemarypath/routing.py
@@ -77,7 +77,7 @@
         if len(self.targets) == 1:
             return self.targets[0][0]
         total = sum(weight for _, weight in self.targets)
-        point = xxhash.xxh32_intdigest(request) / 2**32 * total
+        point = xxhash.xxh32_intdigest(request.encode()) / 2**32 * total
         for service, weight in self.targets:
             point -= weight
             if point < 0:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -305,3 +305,33 @@
                 raise AssertionError("the other engine's holder could have loaded")
 
     play(scenario, daemons=3)
+
+
+def test_metrics_are_served_in_the_text_exposition_format():
+    async def scenario(fleet):
+        await fleet.call(b"/read/x")
+        await fleet.call(b"/none/")
+        host = fleet.settings[0].peers_address.rpartition(":")[0]
+        reply = await fleet.pool.call(
+            f"{host}:9464", b"GET", b"/metrics", [(b"Host", b"x")], b"", 2.0, 0.0
+        )
+        text = reply.body.decode()
+        assert 'rosemarypath_events_total{name="refused.no_route"} 1.0' in text
+        assert (
+            'rosemarypath_send_seconds_count{event="answered",kind="safe"} 1.0' in text
+        )
+        assert "rosemarypath_store_calls_total{" in text
+
+    play(scenario)
+
+
+def test_a_split_route_is_served():
+    async def scenario(fleet):
+        split = [{"service": "ledger", "weight": 90}, {"service": "spare", "weight": 1}]
+        route = {"name": "s", "pathPrefix": "/s/", "kind": "safe"}
+        fleet.configure(configuration(2, [{**route, "trafficSplit": split}]))
+        await asyncio.sleep(0.4)
+        statuses = [(await fleet.call(b"/s/x")).status for _ in range(8)]
+        assert statuses.count(200) >= 6
+
+    play(scenario)
--- /dev/null
+++ b/tests/test_httpclient.py
@@ -0,0 +1,176 @@
+"""
+tests.test_httpclient
+~~~~~~~~~~~~~~~~~~~~~
+
+Outgoing calls against servers whose answers are cut, crossed or followed by more.
+"""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from bench.ports import free_ports
+from rosemarypath.errors import ConnectError, ResponseError
+from rosemarypath.httpclient import Connection, ConnectionPool, encode_request
+
+GET = encode_request(b"GET", b"/", [(b"Host", b"h")])
+GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+)
+
+
+def exchange(answer, end="keep", accepts=None, pieces=1):
+    """Return what one exchange gives and whether its connection may be used again."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        step = max(1, len(answer) // pieces)
+        for start in range(0, len(answer), step):
+            writer.write(answer[start : start + step])
+            await writer.drain()
+            if pieces > 1:
+                await asyncio.sleep(0)
+        if end == "close":
+            writer.close()
+        elif end == "reset":
+            linger = struct.pack("ii", 1, 0)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        else:
+            await asyncio.sleep(0.3)
+            writer.close()
+
+    async def run():
+        port = free_ports(1)[0]
+        server = await asyncio.start_server(serve, "127.0.0.1", port)
+        try:
+            connection = await Connection.open(f"127.0.0.1:{port}")
+            connection.send(GET, b"GET", accepts)
+            async with asyncio.timeout(2.0):
+                head = await connection.head()
+                body = await connection.read_all()
+            await asyncio.sleep(0.01)
+            is_reusable = connection.is_reusable
+            connection.abort()
+            return head.status, body, is_reusable
+        finally:
+            server.close()
+
+    return asyncio.run(run())
+
+
+def test_a_whole_answer_leaves_the_connection_usable():
+    assert exchange(GOOD) == (200, b"hello", True)
+    assert exchange(CHUNKED) == (200, b"abcde", True)
+
+
+@settings(max_examples=15, deadline=None)
+@given(st.integers(2, 40))
+def test_an_answer_in_pieces_is_the_same(pieces):
+    assert exchange(CHUNKED, pieces=pieces) == (200, b"abcde", True)
+
+
+@pytest.mark.parametrize(
+    ("answer", "end"),
+    [
+        (GOOD[:-2], "close"),
+        (GOOD[:-2], "reset"),
+        (CHUNKED[:-5], "close"),
+        (b"HTTP/1.1 200 OK\r\n\r\nhalf", "reset"),
+        (b"not http at all\r\n\r\n", "keep"),
+        (b"", "close"),
+    ],
+)
+def test_an_answer_that_is_cut_or_no_answer_is_broken(answer, end):
+    with pytest.raises(ResponseError):
+        exchange(answer, end)
+
+
+def test_an_answer_without_length_is_whole_at_an_orderly_end_only():
+    answer = b"HTTP/1.1 200 OK\r\n\r\nall of it"
+    assert exchange(answer, "close") == (200, b"all of it", False)
+
+
+def test_bytes_after_an_answer_end_the_connection():
+    assert exchange(GOOD + GOOD) == (200, b"hello", False)
+    assert exchange(GOOD + b"junk") == (200, b"hello", False)
+
+
+def test_an_answer_to_an_earlier_request_is_passed_over():
+    stray = b"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nstray"
+    mine = b"HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 4\r\n\r\nmine"
+    result = exchange(
+        stray + mine, accepts=lambda reply: reply.header(b"x-id") == b"mine"
+    )
+    assert result == (200, b"mine", False)
+
+
+def test_an_interim_answer_is_passed_over():
+    assert exchange(b"HTTP/1.1 100 Continue\r\n\r\n" + GOOD) == (200, b"hello", True)
+
+
+def test_close_announced_ends_reuse():
+    answer = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"
+    assert exchange(answer) == (200, b"ok", False)
+
+
+def test_nobody_listening_is_a_connect_error():
+    async def run():
+        await Connection.open(f"127.0.0.1:{free_ports(1)[0]}")
+
+    with pytest.raises(ConnectError):
+        asyncio.run(run())
+
+
+def test_a_silent_server_costs_a_call_its_timeout_only():
+    async def serve(reader, writer):
+        await asyncio.sleep(5)
+
+    async def run():
+        port = free_ports(1)[0]
+        server = await asyncio.start_server(serve, "127.0.0.1", port)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        pool = ConnectionPool()
+        with pytest.raises(ResponseError):
+            await pool.call(f"127.0.0.1:{port}", b"GET", b"/", [], b"", 0.2, 0.0)
+        server.close()
+        return loop.time() - started
+
+    assert asyncio.run(run()) < 0.5
+
+
+def test_idle_connections_are_used_again_while_fresh():
+    async def serve(reader, writer):
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(GOOD)
+
+    async def run():
+        port = free_ports(1)[0]
+        server = await asyncio.start_server(serve, "127.0.0.1", port)
+        pool = ConnectionPool()
+        address = f"127.0.0.1:{port}"
+        first = await pool.acquire(address, 0.0)
+        first.send(GET)
+        await first.head()
+        await first.read_all()
+        pool.release(first, 0.0)
+        again = await pool.acquire(address, 0.5)
+        assert again is first
+        again.send(GET)
+        await again.read_all()
+        pool.release(again, 0.5)
+        later = await pool.acquire(address, 60.0)
+        assert later is not first
+        fresh = await pool.acquire(address, 60.0, is_fresh=True)
+        assert fresh is not later
+        pool.close()
+        server.close()
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_listener.py
@@ -0,0 +1,150 @@
+"""
+tests.test_listener
+~~~~~~~~~~~~~~~~~~~
+
+The listener against callers that send badly, slowly, or leave.
+"""
+
+import asyncio
+
+import pytest
+
+from bench.ports import free_ports
+from rosemarypath.listener import Listener
+from rosemarypath.routing import IngressLimits
+
+LIMITS = IngressLimits(
+    header_bytes=500, body_bytes=1000, header_timeout=0.3, idle_timeout=0.6
+)
+
+
+def converse(data, handle=None, reads=1, pause=0.0, seconds=2.0):
+    """Send `data` (bytes or pieces); return all that comes until the end or a pause."""
+    seen = []
+
+    async def echo(request, connection):
+        seen.append(request)
+        if request.status:
+            connection.answer(request.status, [], closes=True)
+        else:
+            connection.answer(200, [], request.method + b" " + request.body)
+
+    async def run():
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        listener = Listener(address, handle or echo, LIMITS)
+        await listener.start()
+        host, port = address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for piece in [data] if isinstance(data, bytes) else data:
+            writer.write(piece)
+            await asyncio.sleep(pause)
+        received = b""
+        try:
+            async with asyncio.timeout(seconds):
+                while received.count(b"HTTP/1.1 ") < reads or reads == 0:
+                    chunk = await reader.read(65536)
+                    if not chunk:
+                        break
+                    received += chunk
+        except TimeoutError:
+            received += b"<open>"
+        listener.close()
+        writer.close()
+        return received
+
+    return asyncio.run(run()), seen
+
+
+def test_requests_on_one_connection_are_answered_in_order():
+    data = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\n"
+    data += b"Content-Length: 3\r\n\r\nxyz"
+    received, seen = converse(data, reads=2)
+    assert received.index(b"GET ") < received.index(b"POST xyz")
+    assert [request.path for request in seen] == [b"/a", b"/b"]
+
+
+def test_a_body_in_chunks_is_read_whole():
+    data = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    data += b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    assert b"POST abcde" in converse(data)[0]
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nHost h\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 600 + b"\r\n\r\n", b"431"),
+        (b"POST / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n" + b"z" * 1500, b"413"),
+        (
+            b"POST / HTTP/1.1\r\nContent-Length: 4\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"400",
+        ),
+    ],
+)
+def test_what_cannot_be_read_is_refused_and_the_connection_ends(data, status):
+    received, _ = converse(data, reads=0)
+    assert received.startswith(b"HTTP/1.1 " + status)
+    assert received.count(b"HTTP/1.1 ") == 1
+    assert b"Connection: close" in received and not received.endswith(b"<open>")
+
+
+def test_slow_headers_are_given_up():
+    received, _ = converse([b"GET / HT", b"TP/1.1\r\n"], pause=0.25, reads=0)
+    assert received.startswith(b"HTTP/1.1 408")
+
+
+def test_an_idle_connection_is_closed_without_a_word():
+    assert converse(b"", reads=0)[0] == b""
+
+
+def test_a_caller_that_leaves_cancels_its_request():
+    cancelled = []
+
+    async def handle(request, connection):
+        try:
+            await asyncio.sleep(5)
+        except asyncio.CancelledError:
+            cancelled.append(request.path)
+            raise
+
+    async def run():
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        listener = Listener(address, handle, LIMITS)
+        await listener.start()
+        host, port = address.split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /gone HTTP/1.1\r\nHost: h\r\n\r\n")
+        await asyncio.sleep(0.1)
+        writer.close()
+        await asyncio.sleep(0.1)
+        listener.close()
+
+    asyncio.run(run())
+    assert cancelled == [b"/gone"]
+
+
+def test_a_broken_off_stream_does_not_look_complete():
+    async def handle(request, connection):
+        connection.write_head(200, [])
+        connection.write(b"part")
+        connection.abort()
+
+    data = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+    try:
+        received, _ = converse(data, handle, reads=0)
+    except ConnectionResetError:
+        return
+    assert not received.endswith(b"0\r\n\r\n")
+
+
+def test_an_old_caller_gets_a_stream_without_chunks():
+    async def handle(request, connection):
+        connection.write_head(200, [])
+        connection.write(b"all")
+        connection.end()
+
+    received, _ = converse(b"GET / HTTP/1.0\r\nHost: h\r\n\r\n", handle, reads=0)
+    assert received.endswith(b"\r\n\r\nall")
+    assert b"chunked" not in received
--- /dev/null
+++ b/tests/test_platform_formats.py
@@ -0,0 +1,198 @@
+"""
+tests.test_platform_formats
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The platform's formats: what is decoded, what is refused, and where names may stand.
+"""
+
+import re
+from pathlib import Path
+
+import msgspec
+import pytest
+from hypothesis import given, strategies as st
+
+from rosemarypath.backend import BackEnd
+from rosemarypath.demand import BadRequestError
+from rosemarypath.errors import SettingsError
+from rosemarypath.httpclient import Reply
+from rosemarypath.platform.configuration import decode_configuration, decode_version
+from rosemarypath.platform.engine import decode_report
+from rosemarypath.platform.requests import (
+    answer_head,
+    decode_demand,
+    forwarded_headers,
+)
+from rosemarypath.platform.servers import decode_server
+from rosemarypath.platform.settings import read_settings
+from rosemarypath.stored import StoredObject
+from tests.edgefleet import HOST, KEY, configuration
+
+BACK_END = BackEnd(name="i-1", address="h:1", zone="z", kind="engine", serves="s")
+ANYTHING = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3)
+    | st.dictionaries(st.text(max_size=5), inner, max_size=3),
+    max_leaves=8,
+)
+SERVER = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "slots": 4,
+    "state": "ready",
+    "coldRemainingMs": 1500,
+    "models": [{"name": "m", "version": 1, "adapters": ["a1@2"]}],
+}
+
+
+def test_an_entry_of_a_back_end_is_decoded():
+    entry = decode_server(StoredObject("i-1", 3, SERVER))
+    assert entry.back_end.name == "i-1"
+    assert entry.cold_seconds == 1.5
+    assert entry.models[0].adapters == {"a1": 2}
+    leaving = decode_server(StoredObject("i-1", 3, {**SERVER, "state": "draining"}))
+    assert leaving.is_leaving
+
+
+@pytest.mark.parametrize("field", ["service", "address", "zone", "slots", "state"])
+@pytest.mark.parametrize("value", [None, 3.5, "", [], "unknown"])
+def test_entries_with_wrong_fields_name_no_back_end_or_are_read(field, value):
+    spec = {**SERVER, field: value}
+    entry = decode_server(StoredObject("i-1", 3, spec))
+    if entry is not None:
+        assert entry.back_end.address.rpartition(":")[2].isdigit()
+        assert isinstance(entry.back_end.serves, str) and entry.back_end.serves
+
+
+@given(ANYTHING)
+def test_no_entry_of_another_writer_raises(spec):
+    decode_server(StoredObject("i-1", 3, spec))
+    decode_version(StoredObject("m.a", 3, spec))
+    decode_report(msgspec.json.encode(spec))
+
+
+@given(ANYTHING)
+def test_a_configuration_that_cannot_be_read_is_a_value_error(spec):
+    try:
+        decode_configuration(StoredObject("main", 3, spec))
+    except ValueError:
+        pass
+
+
+def test_the_longest_prefix_leads_and_keys_lead_to_customers():
+    routes = [
+        {"name": "all", "pathPrefix": "/", "kind": "safe"},
+        {"name": "deep", "pathPrefix": "/read/deep/", "kind": "unsafe"},
+    ]
+    table = decode_configuration(StoredObject("main", 9, configuration(4, routes)))
+    assert (table.version, table.revision) == (4, 9)
+    assert table.find_route(HOST, "/read/deep/x").name == "deep"
+    assert table.find_route(HOST, "/read/x").name == "read"
+    assert table.find_route(HOST, "/other").name == "all"
+    assert table.find_route("other.example", "/read/x") is None
+    assert table.find_customer(KEY).name == "kiln"
+    assert table.find_customer("wrong") is None
+
+
+def test_a_split_route_is_stable_by_request_and_follows_the_weights():
+    split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+    route = {"name": "s", "pathPrefix": "/s/", "kind": "safe", "trafficSplit": split}
+    table = decode_configuration(StoredObject("main", 9, configuration(4, [route])))
+    found = table.find_route(HOST, "/s/x")
+    services = [found.service_for(f"r{n}") for n in range(2000)]
+    assert 120 < services.count("b") < 280
+    assert found.service_for("r1") == found.service_for("r1")
+
+
+def test_a_demand_is_decoded():
+    headers = [
+        (b"x-attempt-id", b"r"),
+        (b"x-deadline-ms", b"1500"),
+        (b"authorization", b"Bearer secret"),
+        (b"x-model", b"m/a3"),
+        (b"x-token-usage", b"100,20"),
+        (b"last-event-id", b"7"),
+    ]
+    demand = decode_demand(headers)
+    assert (demand.deadline, demand.key, demand.held_name) == (1.5, "secret", "m/a3")
+    assert (demand.tokens, demand.last_event) == (120, b"7")
+
+
+@pytest.mark.parametrize(
+    "header", [(b"x-deadline-ms", b"x"), (b"x-token-usage", b"1,x"), None]
+)
+def test_a_demand_that_cannot_be_read_names_the_remedy(header):
+    headers = [(b"x-attempt-id", b"r"), header] if header else []
+    with pytest.raises(BadRequestError, match="; "):
+        decode_demand(headers)
+
+
+def test_headers_of_one_connection_and_those_of_the_system_are_not_passed_on():
+    headers = [
+        (b"host", b"h"),
+        (b"connection", b"close, x-hop"),
+        (b"x-hop", b"1"),
+        (b"authorization", b"Bearer secret"),
+        (b"x-tenant", b"forged"),
+        (b"x-hold", b"1"),
+        (b"kv-from", b"1"),
+        (b"x-attempt-id", b"r"),
+        (b"x-model", b"m"),
+        (b"x-other", b"kept"),
+    ]
+    demand = decode_demand(headers)
+    sent = forwarded_headers(headers, demand, BACK_END, "kiln", 12, 1.25, b"")
+    names = {name.lower(): value for name, value in sent}
+    assert names[b"x-tenant"] == b"kiln"
+    assert names[b"x-deadline-ms"] == b"1250"
+    assert names[b"x-request-priority"] == b"9"
+    assert names[b"x-expect-instance"] == b"i-1"
+    assert names[b"x-other"] == b"kept"
+    assert not {b"authorization", b"x-hop", b"connection", b"x-hold"} & names.keys()
+
+
+def test_answers_are_judged():
+    def judge(status, *headers):
+        return answer_head(Reply(status, headers, b""), "r", BACK_END)
+
+    mine = (b"x-attempt-id", b"r")
+    signed = (b"x-response-signature", b"s")
+    assert judge(200, mine, signed).is_success
+    assert not judge(200, mine).is_success
+    assert not judge(200, signed).is_ours
+    assert not judge(200, (b"x-attempt-id", b"other"), signed).is_ours
+    assert judge(503, mine, (b"x-not-executed", b"1")).has_not_run
+    assert not judge(503, mine).has_not_run
+    assert judge(421, mine, (b"x-instance-id", b"i-2")).is_other_back_end
+    assert not judge(421, mine, (b"x-instance-id", b"i-1")).is_other_back_end
+
+
+@pytest.mark.parametrize("content", [None, "{", "{}", '{"listen": 3}', "[]"])
+def test_settings_that_cannot_be_read_name_the_remedy(tmp_path, content):
+    path = tmp_path / "settings.json"
+    if content is not None:
+        path.write_text(content)
+    with pytest.raises(SettingsError, match="; "):
+        read_settings(str(path))
+
+
+WIRE_NAMES = re.compile(
+    r"X-Attempt-Id|X-Expect-Instance|X-Not-Executed|X-Token-Usage|X-Deadline-Ms"
+    r"|X-Tenant|X-Model|X-Request-Priority|X-Response-Signature|X-Weight-Versions"
+    r"|fencingToken|kvUsed|kvTotal|storeRevision|hasMore|coldRemainingMs|apiKeys"
+    r"|trafficSplit|pathPrefix|maxAttempts|targetLatencyMs|ratePerS|plainTokens"
+    r"|/api/(?:order|report|objects|resolve|ready)",
+    re.IGNORECASE,
+)
+
+
+def test_no_name_of_the_platform_stands_outside_its_folder():
+    root = Path(__file__).parent.parent / "rosemarypath"
+    found = [
+        f"{path.name}: {match.group()}"
+        for path in root.rglob("*.py")
+        if path.parent.name != "platform"
+        for match in WIRE_NAMES.finditer(path.read_text())
+    ]
+    assert found == []
