Let three machines watch the store for all; ask for news while others are behind too

Three machines over the zones watch now and pass events on; the list's watch waits half a second and so shows a silent store.

--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -8,9 +8,11 @@
 import asyncio
 import signal
 import time
+from dataclasses import dataclass
 
 import msgspec
 
+from rosemarypath.backends import UNSTABLE_SECONDS
 from rosemarypath.clock import lease_now, now
 from rosemarypath.decisionlog import FLUSH_SECONDS, DecisionLog
 from rosemarypath.edgemetrics import EdgeMetrics
@@ -27,10 +29,18 @@
     LoadAsk,
     LoadReply,
     MirrorAsk,
+    MirrorEvents,
     MirrorSnapshot,
     PeerState,
 )
-from rosemarypath.mirror import Mirror, StoreHealth, Watcher
+from rosemarypath.mirror import (
+    PROBE_SECONDS,
+    WATCH_SECONDS,
+    Mirror,
+    StoreHealth,
+    Watcher,
+    WatchRole,
+)
 from rosemarypath.peers import Peers
 from rosemarypath.routing import IngressLimits
 from rosemarypath.stored import StoredObject
@@ -42,7 +52,7 @@
 LINK_SILENCE = 0.8  # seconds without an answer after which a link is dialled anew
 HOLDING_SECONDS = 0.3  # between two looks at who gives orders
 FIRST_HOLDING_SECONDS = 0.05  # the same just after a start, until some are known
-RELAY_SECONDS = 0.25  # a copy that is behind a peer's for so long is asked for
+RELAY_SECONDS = 0.15  # a copy that is behind a peer's for so long is asked for
 REGISTER_RETRY = 0.3  # seconds between tries to register
 FORGET_SECONDS = 12.0  # a machine silent for so long is struck from the register
 DIRECTORY_TTL = 1  # seconds that callers keep an answer of the directory
@@ -51,6 +61,14 @@
 STOP_POLL = 0.05  # seconds between two looks whether requests are still on their way
 
 
+@dataclass(frozen=True)
+class _Behind:
+    """A newer revision of a kind that a peer has, and since when that is known."""
+
+    revision: int
+    since: float
+
+
 class EdgeDaemon:
     """
     One daemon.
@@ -72,7 +90,7 @@
         self._tasks = set()
         self._stopping = asyncio.Event()
         self._stopped_at = None
-        self._behind_since = {}
+        self._behind = {}
         self._keeper_tasks = {}
         self._removed_servers = set()
         incarnation = new_incarnation()
@@ -89,6 +107,9 @@
         self._store = dialect.store(settings.store_address, self._pool)
         self._engine_calls = dialect.engine_calls(self._pool, settings.machine)
         self._health = StoreHealth(self._on_store_health)
+        self._watch_role = WatchRole()
+        self._watchers = [settings.machine]
+        self._is_relay_unstable = False
         self._peers = Peers(self._own, now(), lease_now())
         self._mesh = Mesh(self._own.identity, settings.peers_address)
         self._fleet = FleetView(settings, self._peers, self._mesh, self._log)
@@ -122,6 +143,11 @@
             and not self._stopping.is_set()
         )
 
+    @property
+    def is_watching(self):
+        """Return whether this daemon watches the store for others."""
+        return self._watch_role.is_on
+
     @property
     def ordered_engines(self):
         """Return the names of the engines whose orders this daemon gives now."""
@@ -147,8 +173,17 @@
         self._mesh.on(MirrorAsk, self._on_mirror_ask)
         self._mesh.on(MirrorSnapshot, self._on_mirror_snapshot)
         self._mesh.on(LoadAsk, self._on_load_ask)
+        self._mesh.on(MirrorEvents, self._on_mirror_events)
         for mirror in self._mirrors.values():
-            watcher = Watcher(self._store, mirror, self._health)
+            is_probe = mirror.kind == self._dialect.server_kind
+            watcher = Watcher(
+                self._store,
+                mirror,
+                self._health,
+                self._watch_role,
+                self._pass_events,
+                seconds=PROBE_SECONDS if is_probe else WATCH_SECONDS,
+            )
             self._spawn(watcher.run())
         self._spawn(self._register())
         self._spawn(self._beat())
@@ -277,7 +312,10 @@
                     revision=mirror.revision,
                 )
         for name in removed:
-            self._fleet.remove_back_end(name, self._health, at)
+            is_unstable = at - self._health.failed_at < UNSTABLE_SECONDS
+            self._fleet.remove_back_end(
+                name, is_unstable or self._is_relay_unstable, at
+            )
             self._log.write("servers", "removed", name=name, revision=mirror.revision)
 
     def _on_versions(self, changed, removed):
@@ -348,6 +386,7 @@
     async def _beat(self):
         while True:
             self._send_states()
+            self._choose_watchers()
             self._mesh.check_silence(now(), LINK_SILENCE)
             at = now()
             for name in self._fleet.back_ends.drop_removed(at):
@@ -362,8 +401,8 @@
             heard=0,
             is_leaving=self._stopping.is_set(),
             is_ready=self.is_ready,
-            revisions={k: m.newest for k, m in self._mirrors.items() if m.is_known},
-            machines=sorted(self._peers.registered),
+            has_store=self._health.is_up,
+            revisions={k: m.changed for k, m in self._mirrors.items() if m.is_known},
             spent=self._fleet.budgets.spent,
             loads=self._fleet.own_loads(),
             held=self._fleet.own_held(),
@@ -372,6 +411,42 @@
             message = msgspec.structs.replace(state, heard=peer.number)
             self._mesh.send(peer.machine.identity, message, expect_answer=True)
 
+    def _choose_watchers(self):
+        """Watch the store if this daemon is among those that do so for all."""
+        watchers = self._peers.watchers(self._health.is_up, now())
+        if watchers != self._watchers:
+            self._watchers = watchers
+            self._log.write("store", "watchers", names=watchers)
+        is_alone = len(self._peers.heard(now())) == 1
+        self._watch_role.set(self._own.name in watchers or is_alone)
+
+    def _pass_events(self, mirror, since, events):
+        """Pass on what a watch brought to the daemons that this one serves."""
+        message = MirrorEvents(
+            mirror.kind,
+            since,
+            mirror.revision,
+            now() - self._health.failed_at < UNSTABLE_SECONDS,
+            [(o.name, o.version, o.spec, is_removed) for o, is_removed in events],
+        )
+        for name, peer in self._peers.by_name.items():
+            if name in self._watchers:
+                continue
+            if self._peers.served_by(self._watchers, name) == self._own.name:
+                self._mesh.send(peer.machine.identity, message)
+
+    def _on_mirror_events(self, identity, message):
+        mirror = self._mirrors.get(message.kind)
+        if mirror is None or not mirror.is_known:
+            return
+        if mirror.revision < message.since:
+            self._mesh.send(identity, MirrorAsk(message.kind, mirror.revision))
+            return
+        events = [(StoredObject(*fields[:3]), fields[3]) for fields in message.events]
+        self._is_relay_unstable = message.is_unstable
+        mirror.apply(events, message.revision)
+        self._is_relay_unstable = False
+
     def _on_peer_state(self, identity, state):
         at = now()
         peer = self._peers.note_state(identity, state, at, lease_now())
@@ -379,21 +454,31 @@
             return
         self._mesh.note_answer(identity)
         self._fleet.note_peer_state(identity, state, at)
-        for kind, revision in state.revisions.items():
+        self.note_revisions(identity, state.revisions, at)
+
+    def note_revisions(self, identity, revisions, at):
+        """Compare the revisions that a peer names with the own copies."""
+        for kind, revision in revisions.items():
             self._ask_if_behind(identity, kind, revision, at)
 
+    def ask_for_news(self, identity, ask):
+        """Send a `MirrorAsk` to a peer."""
+        self._mesh.send(identity, ask)
+
     def _ask_if_behind(self, identity, kind, revision, at):
         """Ask a peer for a newer copy when our own watch does not bring it."""
         mirror = self._mirrors.get(kind)
         if mirror is None:
             return
         if mirror.is_known and mirror.revision >= revision:
-            self._behind_since.pop(kind, None)
             return
-        since = self._behind_since.setdefault(kind, at)
-        if at - since >= RELAY_SECONDS or not mirror.is_known:
-            self._behind_since[kind] = at
-            self._mesh.send(identity, MirrorAsk(kind, mirror.revision))
+        # A peer that is behind as well must not restart the wait.
+        known = self._behind.get(kind)
+        if known is None or mirror.revision >= known.revision:
+            known = self._behind[kind] = _Behind(revision, at)
+        if at - known.since >= RELAY_SECONDS or not mirror.is_known:
+            self._behind[kind] = _Behind(revision, at)
+            self.ask_for_news(identity, MirrorAsk(kind, mirror.revision))
 
     def _on_mirror_ask(self, identity, ask):
         mirror = self._mirrors.get(ask.kind)
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -7,7 +7,7 @@
 
 from rosemarypath import clock
 from rosemarypath.backend import ENGINE, HeldModel
-from rosemarypath.backends import UNSTABLE_SECONDS, BackEnds
+from rosemarypath.backends import BackEnds
 from rosemarypath.loading import LoadOutcome
 from rosemarypath.messages import LoadAsk
 from rosemarypath.shares import BudgetShares, RetryShares
@@ -182,9 +182,8 @@
         """Take over an entry of the platform's list."""
         return self.back_ends.set_entry(entry, now)
 
-    def remove_back_end(self, name, health, now):
-        """Record that an entry is gone."""
-        may_be_lapse = now - health.failed_at < UNSTABLE_SECONDS
+    def remove_back_end(self, name, may_be_lapse, now):
+        """Record that an entry is gone, for good unless the store was away lately."""
         self.back_ends.remove(name, now, may_be_lapse)
 
     def note_peer_state(self, identity, state, now):
--- a/rosemarypath/messages.py
+++ b/rosemarypath/messages.py
@@ -28,6 +28,7 @@
     "LoadAsk",
     "LoadReply",
     "MirrorAsk",
+    "MirrorEvents",
     "MirrorSnapshot",
     "News",
     "NewsAsk",
@@ -283,19 +284,20 @@
     A daemon's heartbeat to one peer, with its share of what all must know.
 
     `number` counts its heartbeats, `heard` is the highest number heard from the
-    receiver. `revisions` maps kinds of the store to the revision of its copy,
-    `machines` names the machines that it knows, `spent` maps customers to the tokens
-    it has admitted since its start, `loads` maps back ends to running requests, prompt
-    tokens not yet read and running requests by adapter. `held` maps the back ends
-    whose orders it gives to what they hold: model, version, adapters with versions.
+    receiver. `has_store` is false while its calls to the store fail. `revisions` maps
+    kinds of the store to the revision at which its copy last changed, `spent` maps
+    customers to the tokens it has admitted since its start, `loads` maps back ends to
+    running requests, prompt tokens not yet read and running requests by adapter.
+    `held` maps the back ends whose orders it gives to what they hold: model, version,
+    adapters with versions.
     """
 
     number: int
     heard: int
     is_leaving: bool
     is_ready: bool
+    has_store: bool
     revisions: dict[str, int]
-    machines: list[str]
     spent: dict[str, int]
     loads: dict[str, tuple[int, int, dict[str, int]]]
     held: dict[str, list[tuple[str, int, dict[str, int]]]]
@@ -316,6 +318,21 @@
     objects: list[tuple[str, int, object]]
 
 
+class MirrorEvents(Message):
+    """
+    Changes of one kind between two revisions, as a watch brought them.
+
+    `events` are name, version, content and whether the object was removed;
+    `is_unstable` tells that the store failed the sender lately.
+    """
+
+    kind: str
+    since: int
+    revision: int
+    is_unstable: bool
+    events: list[tuple[str, int, object, bool]]
+
+
 class LoadAsk(Message):
     """Asks the holder of a back end's orders to load an adapter within `seconds`."""
 
@@ -365,6 +382,7 @@
     | PeerState
     | MirrorAsk
     | MirrorSnapshot
+    | MirrorEvents
     | LoadAsk
     | LoadReply
 )
--- a/rosemarypath/mirror.py
+++ b/rosemarypath/mirror.py
@@ -14,9 +14,17 @@
     VersionGoneError,
 )
 
-__all__ = ["Mirror", "StoreHealth", "Watcher"]
+__all__ = [
+    "PROBE_SECONDS",
+    "WATCH_SECONDS",
+    "Mirror",
+    "StoreHealth",
+    "WatchRole",
+    "Watcher",
+]
 
 WATCH_SECONDS = 20.0  # a waiting watch is priced as one call, however long
+PROBE_SECONDS = 0.5  # the same for the kind whose watch shows that the store speaks
 GATHER_SECONDS = 0.1  # pause between two watches that collects a burst of events
 RETRY_FIRST = 0.1  # seconds before the first new try after a failure
 RETRY_MOST = 1.0  # seconds between tries while the store stays away
@@ -26,7 +34,8 @@
     """
     The objects of one kind as known here.
 
-    `on_change` is called with the sets of changed and of removed names.
+    `on_change` is called with the sets of changed and of removed names. `revision` is
+    the store's revision up to which it is known, `changed` that of its last change.
     """
 
     def __init__(self, kind, on_change):
@@ -34,6 +43,7 @@
         self._own_revision = 0
         self.kind = kind
         self.revision = 0
+        self.changed = 0
         self.objects = {}
         self.is_known = False
 
@@ -56,6 +66,7 @@
         self.revision = revision
         self.is_known = True
         if changed or removed or is_first:
+            self.changed = max(self.changed, revision)
             self._on_change(changed, removed)
 
     def apply(self, events, revision):
@@ -78,11 +89,13 @@
                 removed.discard(stored.name)
         self.revision = revision
         if changed or removed:
+            self.changed = max(self.changed, revision)
             self._on_change(changed, removed)
 
     def note_own(self, stored):
         """Take over an object that this daemon has just written."""
         self._own_revision = max(self._own_revision, stored.version)
+        self.changed = max(self.changed, stored.version)
         known = self.objects.get(stored.name)
         if known is None or known.version < stored.version:
             self.objects[stored.name] = stored
@@ -118,17 +131,59 @@
             self._on_change(False, reason)
 
 
+class WatchRole:
+    """
+    Whether this daemon watches the store for others, or learns from those that do.
+
+    The load answered here: each waiting watch is a priced call, and every daemon of a
+    large fleet that watches everything would use up what the store allows.
+    """
+
+    def __init__(self):
+        self._is_on = asyncio.Event()
+        self._is_on.set()
+
+    @property
+    def is_on(self):
+        """Return whether this daemon watches."""
+        return self._is_on.is_set()
+
+    def set(self, is_on):
+        """Put a new role in force."""
+        if is_on:
+            self._is_on.set()
+        else:
+            self._is_on.clear()
+
+    async def wait_until_on(self):
+        """Return when this daemon is to watch."""
+        await self._is_on.wait()
+
+
 class Watcher:
     """
-    Keeps a `Mirror` by listing its kind and watching it.
+    Keeps a `Mirror` by listing its kind and, in the role, watching it.
 
-    `only` names the single object to read where the kind holds others.
+    ``on_events(mirror, since, events)`` is called for what a watch brought, `seconds`
+    is how long one watch waits.
     """
 
-    def __init__(self, store, mirror, health, gather=GATHER_SECONDS):
+    def __init__(
+        self,
+        store,
+        mirror,
+        health,
+        role,
+        on_events,
+        gather=GATHER_SECONDS,
+        seconds=WATCH_SECONDS,
+    ):
+        self._seconds = seconds
         self._store = store
         self._mirror = mirror
         self._health = health
+        self._role = role
+        self._on_events = on_events
         self._gather = gather
         self._needs_list = True
 
@@ -136,6 +191,8 @@
         """Watch until cancelled."""
         pause = RETRY_FIRST
         while True:
+            if not self._needs_list and self._health.is_up:
+                await self._role.wait_until_on()
             try:
                 await self._step()
                 pause = RETRY_FIRST
@@ -155,10 +212,13 @@
             mirror.replace(objects, revision)
             self._needs_list = False
             return
+        since = mirror.changed
         events, revision = await self._store.watch(
-            mirror.kind, mirror.revision, WATCH_SECONDS
+            mirror.kind, mirror.revision, self._seconds
         )
         self._health.note_answer(time.monotonic())
-        mirror.apply(events, revision)
+        if revision > mirror.revision:
+            mirror.apply(events, revision)
         if events:
+            self._on_events(mirror, since, events)
             await asyncio.sleep(self._gather)
--- a/rosemarypath/peers.py
+++ b/rosemarypath/peers.py
@@ -7,11 +7,15 @@
 
 from dataclasses import dataclass, field
 
+from rosemarypath.hashing import score, spread_order
 from rosemarypath.machine import Machine
 
 __all__ = ["Peer", "Peers"]
 
 SILENT_SECONDS = 1.2  # six heartbeats; a silent daemon is not named to callers
+WATCHER_SILENT_SECONDS = 0.7  # three heartbeats; then another one watches
+WATCHERS = 3  # machines that watch the store; two may fail at once
+WATCH_RESOURCE = "watch"
 FIRST_WORDS_SECONDS = 1.5  # time in which all have spoken after a common restart
 VOUCH_SECONDS = 2.0  # an echo vouches for the time since its heartbeat was sent
 TAKEOVER_SECONDS = 2.6  # longer than a vouch, so that no two daemons hold orders
@@ -35,6 +39,7 @@
     number: int = 0
     is_leaving: bool = False
     is_ready: bool = False
+    has_store: bool = True
     spent: dict = field(default_factory=dict)
     revisions: dict = field(default_factory=dict)
 
@@ -92,6 +97,7 @@
         peer.lease_heard_at = lease_now
         peer.is_leaving = state.is_leaving
         peer.is_ready = state.is_ready
+        peer.has_store = state.has_store
         peer.spent = state.spent
         peer.revisions = state.revisions
         peer.vouched_at = max(
@@ -157,6 +163,29 @@
         total = len(self.by_name) + 1
         return len(self.heard(now)) / total
 
+    def watchers(self, has_own_store, now):
+        """
+        Return the names of the machines that watch the store for all.
+
+        They are the first ones, over the zones, that speak and reach the store.
+        """
+        able = [self.own] if has_own_store else []
+        able += [
+            peer.machine
+            for peer in self.by_name.values()
+            if peer.has_store
+            and not peer.is_leaving
+            and now - peer.heard_at < WATCHER_SILENT_SECONDS
+        ]
+        ordered = spread_order(WATCH_RESOURCE, able, lambda m: m.name, lambda m: m.zone)
+        return [machine.name for machine in ordered[:WATCHERS]]
+
+    def served_by(self, watchers, name):
+        """Return which of `watchers` passes news on to the machine `name`."""
+        if not watchers:
+            return ""
+        return watchers[score(WATCH_RESOURCE, name) % len(watchers)]
+
     def named_to_callers(self, is_own_ready, now):
         """
         Return the `Machine` records that callers may use.
--- a/rosemarypath/platform/store.py
+++ b/rosemarypath/platform/store.py
@@ -24,7 +24,7 @@
 __all__ = ["PlatformStore"]
 
 CALL_TIMEOUT = 1.0  # seconds; a healthy store answers in milliseconds
-WATCH_MARGIN = 1.5  # seconds that a watch may be late before it counts as silent
+WATCH_MARGIN = 0.4  # seconds that a watch may be late before it counts as silent
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
 REMEDY = "check that the platform's store is up and reachable"
 
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -25,27 +25,45 @@
     Objects in memory.
 
     `fault` is empty, ``busy`` (503), ``silent``, ``reset`` or ``lost`` (writes are
-    carried out and not answered); `refused` holds addresses that are turned away.
+    carried out and not answered). `refused` holds addresses of its own, opened by
+    `open_for`, at which everybody is turned away.
     """
 
     def __init__(self, address):
         self.address = address
-        self._listener = Listener(address, self._handle, IngressLimits())
+        self._listeners = [self._new_listener(address)]
         self._kinds = {}
         self._events = []
         self._first_event = 0
         self._changed = asyncio.Event()
         self.revision = 1
         self.fault = ""
+        self.refused = set()
         self.calls = 0
 
     async def start(self):
         """Listen."""
-        await self._listener.start()
+        await self._listeners[0].start()
+
+    async def open_for(self, address):
+        """Listen at one more address, which can be refused by itself."""
+        listener = self._new_listener(address)
+        await listener.start()
+        self._listeners.append(listener)
 
     def close(self):
         """Stop."""
-        self._listener.close()
+        for listener in self._listeners:
+            listener.close()
+
+    def _new_listener(self, address):
+        async def handle(request, connection):
+            if address in self.refused:
+                connection.answer(503, [])
+            else:
+                await self._handle(request, connection)
+
+        return Listener(address, handle, IngressLimits())
 
     def put(self, kind, name, spec):
         """Write an object as the operator or a back end does."""
@@ -79,8 +97,9 @@
 
     def drop_connections(self):
         """Cut all connections."""
-        for connection in list(self._listener.connections):
-            connection.abort()
+        for listener in self._listeners:
+            for connection in list(listener.connections):
+                connection.abort()
 
     def _note(self, kind, document, is_removed):
         self._events.append((self.revision, kind, document, is_removed))
--- a/tests/edgefleet.py
+++ b/tests/edgefleet.py
@@ -119,6 +119,7 @@
         if settings is None:
             settings = self._new_settings()
             self.settings.append(settings)
+            await self.store.open_for(settings.store_address)
         descriptor = os.open(os.devnull, os.O_WRONLY)
         self._sinks.append(descriptor)
         log = DecisionLog(settings.machine, descriptor)
@@ -178,7 +179,7 @@
     def _new_settings(self):
         number = len(self.settings) + 1
         host = f"127.0.{next(HOSTS)}.{number + 1}"
-        ports = [f"{host}:{port}" for port in free_ports(4)]
+        ports = [f"{host}:{port}" for port in free_ports(5)]
         return EdgeSettings(
             machine=f"edge-{number}",
             zone=f"z{1 + number % 2}",
@@ -187,7 +188,7 @@
             readiness_address=ports[1],
             directory_address=ports[2],
             peers_address=ports[3],
-            store_address=self.store.address,
+            store_address=ports[4],
             retry_slack=40.0,
         )
 
--- /dev/null
+++ b/tests/test_edge.py
@@ -0,0 +1,214 @@
+"""
+tests.test_edge
+~~~~~~~~~~~~~~~
+
+Several daemons of the users' platform: directory, relays, outages, restarts.
+"""
+
+import asyncio
+
+import msgspec
+
+from tests.edgefleet import configuration, running_fleet
+
+
+def play(scenario, daemons=3):
+    """Run ``scenario(fleet)`` against a fresh fleet."""
+
+    async def run():
+        async with running_fleet(daemons) as fleet:
+            await scenario(fleet)
+
+    asyncio.run(run())
+
+
+async def directory(fleet, daemon=0):
+    """Return the callers' addresses that a daemon names."""
+    address = fleet.settings[daemon].directory_address
+    path = b"/api/resolve?name=shop.example&region=r&zone=z1"
+    headers = [(b"Host", b"x")]
+    reply = await fleet.pool.call(address, b"GET", path, headers, b"", 1.0, 0.0)
+    return msgspec.json.decode(reply.body)["addresses"]
+
+
+async def readiness(fleet, daemon=0):
+    """Return the status of a daemon's readiness answer."""
+    address = fleet.settings[daemon].readiness_address
+    headers = [(b"Host", b"x")]
+    reply = await fleet.pool.call(
+        address, b"GET", b"/api/ready", headers, b"", 1.0, 0.0
+    )
+    return reply.status
+
+
+def test_the_directory_names_all_and_drops_a_dead_daemon():
+    async def scenario(fleet):
+        named = set(await directory(fleet))
+        assert named == {settings.callers_address for settings in fleet.settings}
+        assert await readiness(fleet) == 200
+        fleet.daemons[2].kill()
+        await asyncio.sleep(1.6)
+        named = await directory(fleet)
+        assert fleet.settings[2].callers_address not in named
+        assert len(named) == 2
+
+    play(scenario)
+
+
+def test_a_stopping_daemon_leaves_the_directory_at_once_and_cuts_no_request():
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.faults.slow_events = 0.3
+        call = asyncio.create_task(
+            fleet.call(b"/ask/x", method=b"POST", model=True, deadline=6000)
+        )
+        await asyncio.sleep(0.2)
+        stopping = asyncio.create_task(fleet.daemons[0].stop())
+        await asyncio.sleep(0.4)
+        assert await readiness(fleet) == 503
+        assert fleet.settings[0].callers_address not in await directory(fleet, 1)
+        late = await fleet.call(b"/read/x")
+        assert late.status == 200
+        assert late.header(b"connection") == b"close"
+        assert (await call).status == 200
+        await stopping
+
+    play(scenario)
+
+
+def test_a_daemon_that_the_store_turns_away_learns_changes_from_its_peers():
+    async def scenario(fleet):
+        fleet.store.refused.add(fleet.settings[1].store_address)
+        fleet.store.drop_connections()
+        await asyncio.sleep(0.3)
+        fleet.configure(configuration(2, keys=["second"]))
+        fleet.announce(fleet.ledgers[0], state="draining")
+        await asyncio.sleep(1.2)
+        assert (await fleet.call(b"/read/x", daemon=1)).status == 401
+        for _ in range(5):
+            reply = await fleet.call(b"/read/x", daemon=1, key="second")
+            assert reply.status == 200
+        assert not fleet.ledgers[0].seen
+
+    play(scenario)
+
+
+def test_several_daemons_turned_away_learn_changes_from_the_others():
+    async def scenario(fleet):
+        for settings in fleet.settings[:3]:
+            fleet.store.refused.add(settings.store_address)
+        fleet.store.drop_connections()
+        await asyncio.sleep(1.0)
+        fleet.configure(configuration(2, keys=["second"]))
+        await asyncio.sleep(1.0)
+        for daemon in range(5):
+            reply = await fleet.call(b"/read/x", daemon=daemon, key="second")
+            assert reply.status == 200
+
+    play(scenario, daemons=5)
+
+
+def test_a_peer_that_is_behind_too_does_not_put_off_the_question_for_news():
+    async def scenario(fleet):
+        daemon = fleet.daemons[0]
+        asked = []
+        daemon.ask_for_news = lambda identity, ask: asked.append(ask)
+        for tick in range(20):
+            daemon.note_revisions("ahead", {"config": 10**9}, tick * 0.1)
+            daemon.note_revisions("behind", {"config": 1}, tick * 0.1)
+        assert len(asked) >= 5
+
+    play(scenario, daemons=1)
+
+
+def test_with_the_store_away_requests_and_loads_go_on():
+    async def scenario(fleet):
+        for fault in ("busy", "reset", "silent"):
+            fleet.store.fault = fault
+            fleet.store.drop_connections()
+            await asyncio.sleep(2.0)
+            assert (await fleet.call(b"/read/x")).status == 200
+            adapter = f"away-{fault}"
+            reply = await fleet.call(b"/ask/x", method=b"POST", adapter=adapter)
+            assert reply.status == 200
+        fleet.store.fault = ""
+        fleet.store.drop_connections()
+        fleet.configure(configuration(3, keys=["third"]))
+        await asyncio.sleep(2.5)
+        assert (await fleet.call(b"/read/x", key="third")).status == 200
+
+    play(scenario)
+
+
+def test_a_lost_history_hides_no_change():
+    async def scenario(fleet):
+        fleet.configure(configuration(2, keys=["second"]))
+        fleet.store.compact()
+        await asyncio.sleep(0.8)
+        for daemon in range(3):
+            reply = await fleet.call(b"/read/x", daemon=daemon, key="second")
+            assert reply.status == 200
+
+    play(scenario)
+
+
+def test_a_fresh_daemon_without_the_store_answers_not_run():
+    async def scenario(fleet):
+        fleet.store.fault = "busy"
+        fleet.store.drop_connections()
+        fleet.daemons[0].kill()
+        await asyncio.sleep(0.2)
+        await fleet.add_daemon(fleet.settings[0])
+        assert await readiness(fleet) == 503
+        reply = await fleet.call(b"/read/x")
+        assert reply.status == 503
+        assert reply.header(b"retry-after") is not None
+
+    play(scenario, daemons=1)
+
+
+def test_after_a_restart_of_all_the_same_machines_order_again_at_once():
+    async def scenario(fleet):
+        before = {
+            settings.machine: daemon.ordered_engines
+            for settings, daemon in zip(fleet.settings, fleet.daemons)
+        }
+        for daemon in fleet.daemons:
+            daemon.kill()
+        await asyncio.sleep(0.5)
+        fleet.daemons.clear()
+        for settings in list(fleet.settings):
+            await fleet.add_daemon(settings)
+        await fleet.until_ordered(2.0)
+        after = {
+            settings.machine: daemon.ordered_engines
+            for settings, daemon in zip(fleet.settings, fleet.daemons)
+        }
+        assert after == before
+        reply = await fleet.call(b"/ask/x", method=b"POST", adapter="again")
+        assert reply.status == 200
+
+    play(scenario)
+
+
+def test_only_some_daemons_watch_and_all_hear_of_changes():
+    async def scenario(fleet):
+        await asyncio.sleep(1.0)
+        watching = [d for d in fleet.daemons if d.is_watching]
+        assert len(watching) == 3
+        fleet.configure(configuration(2, keys=["second"]))
+        await asyncio.sleep(0.5)
+        for daemon in range(5):
+            reply = await fleet.call(b"/read/x", daemon=daemon, key="second")
+            assert reply.status == 200
+        for daemon in watching[:2]:
+            daemon.kill()
+        await asyncio.sleep(1.8)
+        fleet.configure(configuration(3, keys=["third"]))
+        await asyncio.sleep(0.6)
+        alive = [n for n, d in enumerate(fleet.daemons) if d not in watching[:2]]
+        for daemon in alive:
+            reply = await fleet.call(b"/read/x", daemon=daemon, key="third")
+            assert reply.status == 200
+
+    play(scenario, daemons=5)
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings, strategies as st
 
 from rosemarypath.errors import StoreUnavailableError, VersionGoneError
-from rosemarypath.mirror import Mirror, StoreHealth, Watcher
+from rosemarypath.mirror import Mirror, StoreHealth, Watcher, WatchRole
 from rosemarypath.stored import StoredObject
 
 
@@ -119,7 +119,8 @@
     health = StoreHealth(lambda is_up, reason: states.append(is_up))
 
     async def run():
-        watcher = Watcher(store, mirror, health, gather=0.0)
+        passed = lambda mirror, since, events: None  # noqa: E731
+        watcher = Watcher(store, mirror, health, WatchRole(), passed, gather=0.0)
         task = asyncio.create_task(watcher.run())
         await asyncio.sleep(0.5)
         task.cancel()
