Split the daemon and forwarding into modules by job; strike out machines that are gone

Now: copies (the store's kinds), news (what they mean), registration, ordering, edge; admission, course, sending, forwarding.

--- /dev/null
+++ b/rosemarypath/admission.py
@@ -0,0 +1,123 @@
+"""
+rosemarypath.admission
+~~~~~~~~~~~~~~~~~~~~~~
+
+Whether a request may run: route, key and the customer's budget.
+"""
+
+from rosemarypath.clock import now
+from rosemarypath.course import Course
+from rosemarypath.demand import BadRequestError
+from rosemarypath.events import EventSplitter
+from rosemarypath.outcome import NotRun
+
+__all__ = ["Admission"]
+
+END_MARGIN = 0.02  # seconds before the deadline at which the final answer goes out
+NO_CONFIGURATION_RETRY = 0.3  # seconds; a fresh daemon knows its configuration by then
+STOPPING_RETRY = 0.05  # seconds; other machines take the request at once
+
+
+class Admission:
+    """
+    Admits requests.
+
+    Options:
+
+    `dialect`
+        Decodes headers.
+    `fleet`
+        The `FleetView`: configuration and budgets as known here.
+    `log`, `metrics`
+        The `DecisionLog` and the counters.
+    """
+
+    def __init__(self, dialect, fleet, log, metrics):
+        self._dialect = dialect
+        self._fleet = fleet
+        self._log = log
+        self._metrics = metrics
+
+    def admit(self, request):
+        """Return the `Course` of a request that may run, else a `NotRun`."""
+        table = self._fleet.table
+        if table is None:
+            return NotRun(
+                503, "no_configuration", "not configured yet", NO_CONFIGURATION_RETRY
+            )
+        if self._fleet.refuses_new:
+            return NotRun(503, "stopping", "this machine is stopping", STOPPING_RETRY)
+        try:
+            demand = self._dialect.decode_demand(request.headers)
+        except BadRequestError as error:
+            return NotRun(400, "bad_request", str(error))
+        host = request.header(b"host").partition(b":")[0].decode("latin-1").lower()
+        path = request.path.partition(b"?")[0].decode("latin-1")
+        route = table.find_route(host, path)
+        if route is None:
+            return NotRun(404, "no_route", f"no route for '{host}{path}'")
+        customer = None
+        if table.needs_keys and not route.is_open:
+            customer = table.find_customer(demand.key) if demand.key else None
+            if customer is None:
+                return NotRun(401, "unknown_key", "the key is not known")
+        return self._with_budget(request, demand, route, customer)
+
+    def _with_budget(self, request, demand, route, customer):
+        if customer is not None:
+            refusal = self._take_budget(demand, customer)
+            if refusal is not None:
+                return refusal
+        course = Course(
+            request,
+            demand,
+            route,
+            route.service_for(demand.request),
+            customer,
+            request.arrived + min(demand.deadline, route.timeout) - END_MARGIN,
+            events=EventSplitter(demand.last_event),
+            priority=_priority(route, customer),
+        )
+        self._fleet.note_request(course.service)
+        self._log.write(
+            "entry",
+            "admitted",
+            request=demand.request,
+            route=route.name,
+            customer=customer.name if customer else "",
+            adapter=demand.adapter,
+            tokens=demand.tokens,
+            version=self._fleet.table.version,
+        )
+        return course
+
+    def _take_budget(self, demand, customer):
+        """Take the request's cost; return a `NotRun` when it is not there."""
+        cost = customer.cost_of(demand.tokens)
+        wait = self._fleet.take_budget(customer, cost, now())
+        if wait <= 0.0:
+            return None
+        self._log.write(
+            "entry",
+            "refused",
+            request=demand.request,
+            why="over_budget",
+            customer=customer.name,
+            cost=cost,
+            wait=round(wait, 3),
+        )
+        return NotRun(429, "over_budget", "over the rate", wait)
+
+    def settle(self, course, outcome):
+        """Give the budget back for a request that did not run."""
+        if not isinstance(outcome, NotRun) or course.may_have_run:
+            return
+        if course.customer is not None:
+            cost = course.customer.cost_of(course.demand.tokens)
+            self._fleet.give_back_budget(course.customer, cost)
+
+
+def _priority(route, customer):
+    if customer is not None and customer.priority is not None:
+        return customer.priority
+    return route.priority
--- /dev/null
+++ b/rosemarypath/copies.py
@@ -0,0 +1,185 @@
+"""
+rosemarypath.copies
+~~~~~~~~~~~~~~~~~~~
+
+This daemon's copies of the store's kinds, from its watches or from its peers.
+
+The load answered here: a store whose calls are priced and bounded for all daemons
+together, and which may turn some of them away. A few machines watch and pass events on;
+whoever misses some learns so from the revisions in heartbeats and asks.
+"""
+
+from dataclasses import dataclass
+
+from rosemarypath.backends import UNSTABLE_SECONDS
+from rosemarypath.clock import now
+from rosemarypath.messages import MirrorAsk, MirrorEvents, MirrorSnapshot
+from rosemarypath.mirror import (
+    PROBE_SECONDS,
+    WATCH_SECONDS,
+    Mirror,
+    StoreHealth,
+    Watcher,
+    WatchRole,
+)
+from rosemarypath.stored import StoredObject
+
+__all__ = ["StoreCopies"]
+
+RELAY_SECONDS = 0.15  # a copy behind a peer's for longer than an event's way is asked
+
+
+@dataclass(frozen=True)
+class _Behind:
+    """A newer revision of a kind that a peer has, and since when that is known."""
+
+    revision: int
+    since: float
+
+
+class StoreCopies:
+    """
+    All `Mirror` copies of one daemon.
+
+    Options:
+
+    `store`
+        Client of the store.
+    `peers`, `mesh`
+        The other daemons, and the links to them.
+    `log`
+        The `DecisionLog`.
+    `probe_kind`
+        The kind whose watch waits so shortly that it shows a silent store.
+    """
+
+    def __init__(self, store, peers, mesh, log, probe_kind):
+        self._store = store
+        self._peers = peers
+        self._mesh = mesh
+        self._log = log
+        self._probe_kind = probe_kind
+        self._role = WatchRole()
+        self._watchers = []
+        self._behind = {}
+        self._is_relay_unstable = False
+        self._mirrors = {}
+        self.health = StoreHealth(self._on_health)
+
+    @property
+    def is_watching(self):
+        """Return whether this daemon watches the store for others."""
+        return self._role.is_on
+
+    @property
+    def revisions(self):
+        """Return the revision of the last change of each known kind."""
+        return {k: m.changed for k, m in self._mirrors.items() if m.is_known}
+
+    def add(self, kind, on_change):
+        """Keep a copy of `kind`; return its `Mirror`."""
+        mirror = self._mirrors[kind] = Mirror(kind, on_change)
+        return mirror
+
+    def is_known(self, kind):
+        """Return whether `kind` was ever read."""
+        return self._mirrors[kind].is_known
+
+    def may_be_lapse(self, now):
+        """Return whether the store was away so lately that removals may be lapses."""
+        is_unstable = now - self.health.failed_at < UNSTABLE_SECONDS
+        return is_unstable or self._is_relay_unstable
+
+    def start(self, spawn):
+        """Begin to watch; ``spawn(coroutine)`` runs a task."""
+        self._mesh.on(MirrorAsk, self._on_ask)
+        self._mesh.on(MirrorSnapshot, self._on_snapshot)
+        self._mesh.on(MirrorEvents, self._on_events)
+        for mirror in self._mirrors.values():
+            is_probe = mirror.kind == self._probe_kind
+            watcher = Watcher(
+                self._store,
+                mirror,
+                self.health,
+                self._role,
+                self._pass_events,
+                seconds=PROBE_SECONDS if is_probe else WATCH_SECONDS,
+            )
+            spawn(watcher.run())
+
+    def choose_watchers(self, now):
+        """Watch the store if this daemon is among those that do so for all."""
+        watchers = self._peers.watchers(self.health.is_up, now)
+        if watchers != self._watchers:
+            self._watchers = watchers
+            self._log.write("store", "watchers", names=watchers)
+        own = self._peers.own.name
+        self._role.set(own in watchers or self._peers.heard(now) == [own])
+
+    def note_revisions(self, identity, revisions, now):
+        """Compare the revisions that a peer names with the own copies."""
+        for kind, revision in revisions.items():
+            mirror = self._mirrors.get(kind)
+            if mirror is not None and not mirror.is_current(revision):
+                self._note_behind(identity, mirror, revision, now)
+
+    def ask_for_news(self, identity, mirror):
+        """Ask a peer for a newer copy."""
+        self._mesh.send(identity, MirrorAsk(mirror.kind, mirror.revision))
+
+    def _note_behind(self, identity, mirror, revision, now):
+        """Ask a peer for its copy when events do not bring the news by themselves."""
+        # A peer that is behind as well must not restart the wait.
+        known = self._behind.get(mirror.kind)
+        if known is None or mirror.revision >= known.revision:
+            known = self._behind[mirror.kind] = _Behind(revision, now)
+        if now - known.since >= RELAY_SECONDS or not mirror.is_known:
+            self._behind[mirror.kind] = _Behind(revision, now)
+            self.ask_for_news(identity, mirror)
+
+    def _pass_events(self, mirror, since, events):
+        """Pass on what a watch brought to the daemons that this one serves."""
+        message = MirrorEvents(
+            mirror.kind,
+            since,
+            mirror.revision,
+            now() - self.health.failed_at < UNSTABLE_SECONDS,
+            [(o.name, o.version, o.spec, is_removed) for o, is_removed in events],
+        )
+        own = self._peers.own.name
+        for name, peer in self._peers.by_name.items():
+            is_served = self._peers.served_by(self._watchers, name) == own
+            if is_served and name not in self._watchers:
+                self._mesh.send(peer.machine.identity, message)
+
+    def _on_events(self, identity, message):
+        mirror = self._mirrors.get(message.kind)
+        if mirror is None or not mirror.is_known:
+            return
+        if mirror.revision < message.since:
+            self.ask_for_news(identity, mirror)
+            return
+        events = [(StoredObject(*fields[:3]), fields[3]) for fields in message.events]
+        self._is_relay_unstable = message.is_unstable
+        mirror.apply(events, message.revision)
+        self._is_relay_unstable = False
+
+    def _on_ask(self, identity, ask):
+        mirror = self._mirrors.get(ask.kind)
+        if mirror is None or not mirror.is_known or mirror.revision <= ask.revision:
+            return
+        objects = [(o.name, o.version, o.spec) for o in mirror.objects.values()]
+        self._mesh.send(identity, MirrorSnapshot(ask.kind, mirror.revision, objects))
+
+    def _on_snapshot(self, identity, message):
+        mirror = self._mirrors.get(message.kind)
+        if mirror is None or mirror.is_current(message.revision):
+            return
+        objects = [StoredObject(*fields) for fields in message.objects]
+        mirror.replace(objects, message.revision)
+        self._log.write(
+            "store", "relayed", kind=message.kind, revision=message.revision
+        )
+
+    def _on_health(self, is_up, reason):
+        self._log.write("store", "regained" if is_up else "lost", why=reason)
--- /dev/null
+++ b/rosemarypath/course.py
@@ -0,0 +1,85 @@
+"""
+rosemarypath.course
+~~~~~~~~~~~~~~~~~~~
+
+One request on its way through the daemon.
+"""
+
+from dataclasses import dataclass, field
+
+__all__ = ["Course", "Progress"]
+
+
+@dataclass
+class Course:
+    """
+    One request on its way.
+
+    Options:
+
+    `request`, `demand`
+        As it came, and what it needs.
+    `route`, `service`, `customer`
+        Where it goes, and the `Contract` it is counted to (``None`` on open routes).
+    `until`
+        When its final answer is due.
+    `sends`, `visited`
+        How often it was sent, and the names of the back ends.
+    `may_have_run`
+        Whether a back end may have run it.
+    `excluded`, `unloadable`
+        Back ends that may not get it, engines that cannot load its adapter.
+    `head`, `failure`
+        The answer's head once the caller has it; a back end's own failure in reserve.
+    `events`
+        The `EventSplitter` of a stream.
+    `waits_since`
+        Since when it waits for a place of its adapter.
+    `first_at`, `last_at`, `worst_gap`
+        Times of the events passed on, and the longest pause.
+    """
+
+    request: object
+    demand: object
+    route: object
+    service: str
+    customer: object
+    until: float
+    sends: int = 0
+    may_have_run: bool = False
+    visited: list = field(default_factory=list)
+    excluded: set = field(default_factory=set)
+    unloadable: set = field(default_factory=set)
+    head: object = None
+    failure: tuple | None = None
+    events: object = None
+    waits_since: float | None = None
+    first_at: float | None = None
+    last_at: float = 0.0
+    worst_gap: float = 0.0
+    priority: int = 5
+
+    @property
+    def id(self):
+        """Return the request's identifier."""
+        return self.demand.request
+
+    def note_event(self, at):
+        """Record that events are passed on at the time `at`."""
+        if self.first_at is None:
+            self.first_at = at
+        else:
+            self.worst_gap = max(self.worst_gap, at - self.last_at)
+        self.last_at = at
+
+    def left(self, at):
+        """Return the seconds left at the time `at`."""
+        return self.until - at
+
+
+@dataclass
+class Progress:
+    """How far one send came."""
+
+    has_first: bool = False
+    is_whole: bool = False
--- a/rosemarypath/edgemetrics.py
+++ b/rosemarypath/edgemetrics.py
@@ -32,7 +32,7 @@
         counts[bisect_left(BUCKETS, seconds)] += 1
         counts[-1] += seconds
 
-    def exposition(self, store_calls, now):
+    def exposition(self, store_calls):
         """Return headers and body of a scrape; the library loads at the first one."""
         from prometheus_client import CollectorRegistry
         from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
--- a/rosemarypath/edgesettings.py
+++ b/rosemarypath/edgesettings.py
@@ -5,7 +5,7 @@
 What a daemon on the users' platform is told at its start.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 
 __all__ = ["EdgeSettings"]
 
@@ -57,3 +57,8 @@
     cold_factor: float = 1.5
     checks_fences: bool = False
     address_lifetime: float = 5.0
+
+    def differences(self, other):
+        """Return the names of the settings that differ from those of `other`."""
+        names = [setting.name for setting in fields(self)]
+        return [n for n in names if getattr(self, n) != getattr(other, n)]
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -30,26 +30,33 @@
         The `EdgeSettings`.
     `peers`, `mesh`
         The other daemons, and the links to them.
+    `holdings`
+        The `Holdings`.
     `log`
         The `DecisionLog`.
     """
 
-    def __init__(self, settings, peers, mesh, log):
+    def __init__(self, settings, peers, mesh, holdings, log):
         self._peers = peers
         self._mesh = mesh
         self._log = log
-        self._factor = settings.cold_factor
-        self._retries = RetryShares(
-            settings.retry_ratio, settings.retry_slack, settings.retry_window
-        )
         self._versions = {}
         self.zone = settings.zone
         self.table = None
         self.refuses_new = False
         self.back_ends = BackEnds()
         self.budgets = BudgetShares()
-        self.holdings = None
+        self.holdings = holdings
         self.keepers = {}
+        self.set_bounds(settings)
+
+    def set_bounds(self, settings):
+        """Put the bounds of the `EdgeSettings` in force."""
+        self._factor = settings.cold_factor
+        self._retries = RetryShares(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window
+        )
+        self.holdings.lease = settings.lease
 
     def set_table(self, table, now):
         """Put a newer `RoutingTable` in force; return whether it was newer."""
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -2,77 +2,24 @@
 rosemarypath.forwarding
 ~~~~~~~~~~~~~~~~~~~~~~~
 
-A request's way: decode, authenticate, admit, choose, send, follow, settle.
+A request's way: admit, choose, load, send, and again where that is allowed.
 """
 
 import asyncio
-from dataclasses import dataclass, field
 
 from rosemarypath.choice import ChoiceFacts, Refusal, choose_back_end
 from rosemarypath.clock import now
-from rosemarypath.demand import BadRequestError
-from rosemarypath.errors import ConnectError, ResponseError
-from rosemarypath.events import EventSplitter
-from rosemarypath.httpclient import encode_request
 from rosemarypath.outcome import NotRun, Unknown
-from rosemarypath.routing import STREAM
+from rosemarypath.sending import Sender
 
-__all__ = ["Course", "Forwarder"]
+__all__ = ["Forwarder"]
 
 MOST_SENDS = 6  # sends of one request, rejected ones included
 RESEND_PAUSE = 0.02  # seconds before a back end that rejected a request is asked again
 LOAD_WAIT_SHARE = 0.6  # part of the time left that a request waits for a load
+LOAD_WAIT_LEAST = 0.05  # seconds; a load from an engine's own memory takes as long
 PLACE_WAIT = 1.0  # seconds; streams that end free places of adapters by then
 PLACE_PAUSE = 0.1  # seconds between two looks for a place
-FIRST_EVENT_SILENCE = 1.6  # seconds; callers leave a silent stream after about 2.4
-GAP_SILENCE = 1.2  # seconds between two events after which a stream moves on
-ANSWER_SILENCE_SHARE = 0.5  # part of the time after which an idempotent call moves on
-ANSWER_SILENCE_LEAST = 0.7  # seconds; a slow but sound back end answers before
-END_MARGIN = 0.02  # seconds before the deadline at which the final answer goes out
-RETRY_AFTER_UNKNOWN_CONFIGURATION = 0.3  # seconds; a fresh daemon knows it by then
-UNREADABLE = {400, 408, 413, 431}
-
-
-@dataclass
-class Course:
-    """One request on its way."""
-
-    request: object
-    demand: object
-    route: object
-    service: str
-    customer: object
-    until: float
-    sends: int = 0
-    may_have_run: bool = False
-    visited: list = field(default_factory=list)
-    excluded: set = field(default_factory=set)
-    unloadable: set = field(default_factory=set)
-    head: object = None
-    failure: tuple | None = None
-    events: object = None
-    waits_since: float | None = None
-    first_at: float | None = None
-    last_at: float = 0.0
-    worst_gap: float = 0.0
-    priority: int = 5
-
-    @property
-    def id(self):
-        """Return the request's identifier."""
-        return self.demand.request
-
-    def note_event(self, at):
-        """Record that events are passed on at the time `at`."""
-        if self.first_at is None:
-            self.first_at = at
-        else:
-            self.worst_gap = max(self.worst_gap, at - self.last_at)
-        self.last_at = at
-
-    def left(self, at):
-        """Return the seconds left at the time `at`."""
-        return self.until - at
 
 
 class Forwarder:
@@ -82,19 +29,22 @@
     Options:
 
     `dialect`
-        Decodes and writes headers.
+        Writes and judges headers.
     `pool`
         The `ConnectionPool`.
     `fleet`
         The `FleetView`: configuration, back ends, budgets and loads as known here.
+    `admission`
+        The `Admission`.
     `log`, `metrics`
         The `DecisionLog` and the counters.
     """
 
-    def __init__(self, dialect, pool, fleet, log, metrics):
+    def __init__(self, dialect, pool, fleet, admission, log, metrics):
         self._dialect = dialect
-        self._pool = pool
         self._fleet = fleet
+        self._admission = admission
+        self._sender = Sender(dialect, pool, fleet, log, metrics)
         self._log = log
         self._metrics = metrics
 
@@ -112,7 +62,7 @@
             self._log.write("entry", "rejected", status=request.status)
             connection.answer(request.status, [], closes=True)
             return
-        course = self._admit(request)
+        course = self._admission.admit(request)
         if isinstance(course, NotRun):
             self._answer_outcome(request, connection, course, "")
             return
@@ -122,73 +72,9 @@
             self._log.write("entry", "left", request=course.id)
             raise
         if outcome is not None:
-            self._settle(course, outcome)
+            self._admission.settle(course, outcome)
             self._answer_outcome(request, connection, outcome, course.id)
 
-    def _admit(self, request):
-        """Return the `Course` of a request that may run, else a `NotRun`."""
-        table = self._fleet.table
-        if table is None:
-            wait = RETRY_AFTER_UNKNOWN_CONFIGURATION
-            return NotRun(503, "no_configuration", "not configured yet", wait)
-        if self._fleet.refuses_new:
-            return NotRun(503, "stopping", "this machine is stopping", 0.05)
-        try:
-            demand = self._dialect.decode_demand(request.headers)
-        except BadRequestError as error:
-            return NotRun(400, "bad_request", str(error))
-        host = request.header(b"host").partition(b":")[0].decode("latin-1").lower()
-        path = request.path.partition(b"?")[0].decode("latin-1")
-        route = table.find_route(host, path)
-        if route is None:
-            return NotRun(404, "no_route", f"no route for '{host}{path}'")
-        customer = None
-        if table.needs_keys and not route.is_open:
-            customer = table.find_customer(demand.key) if demand.key else None
-            if customer is None:
-                return NotRun(401, "unknown_key", "the key is not known")
-        return self._with_budget(request, demand, route, customer)
-
-    def _with_budget(self, request, demand, route, customer):
-        at = now()
-        service = route.service_for(demand.request)
-        timeout = min(demand.deadline, route.timeout)
-        course = Course(
-            request,
-            demand,
-            route,
-            service,
-            customer,
-            request.arrived + timeout - END_MARGIN,
-            events=EventSplitter(demand.last_event),
-            priority=_priority(route, customer),
-        )
-        if customer is not None:
-            wait = self._fleet.take_budget(customer, _cost(customer, demand), at)
-            if wait > 0.0:
-                self._log.write(
-                    "entry",
-                    "refused",
-                    request=demand.request,
-                    why="over_budget",
-                    customer=customer.name,
-                    wait=round(wait, 3),
-                )
-                self._metrics.count("refused.over_budget")
-                return NotRun(429, "over_budget", "over the rate", wait)
-        self._fleet.note_request(service)
-        self._log.write(
-            "entry",
-            "admitted",
-            request=demand.request,
-            route=route.name,
-            customer=customer.name if customer else "",
-            adapter=demand.adapter,
-            tokens=demand.tokens,
-            version=self._fleet.table.version,
-        )
-        return course
-
     async def _run(self, course, connection):
         """Try back ends until the answer is sent (``None``) or an outcome stands."""
         while True:
@@ -206,7 +92,7 @@
             if choice.needs_load:
                 await self._load(course, choice.state)
                 continue
-            outcome = await self._attempt(course, choice.state, connection)
+            outcome = await self._sender.send(course, choice.state, connection)
             if outcome is None:
                 return None
             if isinstance(outcome, Unknown):
@@ -263,7 +149,7 @@
         seconds = course.left(now()) * LOAD_WAIT_SHARE
         started = now()
         outcome = await self._fleet.ensure(
-            state, demand.model, demand.adapter, max(0.05, seconds)
+            state, demand.model, demand.adapter, max(LOAD_WAIT_LEAST, seconds)
         )
         if not outcome.is_held:
             course.unloadable.add(state.name)
@@ -290,191 +176,11 @@
         self._metrics.count("retries")
         return True
 
-    async def _attempt(self, course, state, connection):
-        """Send the request once; return ``None`` when the answer was sent."""
-        started = now()
-        demand = course.demand
-        is_fresh = not course.route.is_idempotent
-        try:
-            upstream = await self._pool.acquire(
-                state.back_end.address, started, is_fresh
-            )
-        except ConnectError as error:
-            state.note_failure(now(), 2.0)
-            self._note_end(course, state, "unreachable", started, error.message)
-            course.excluded.add(state.name)
-            return NotRun(503, "unreachable", error.message, 0.1, can_retry=True)
-        course.sends += 1
-        course.visited.append(state.name)
-        state.begin(demand, started)
-        progress = _Progress()
-        try:
-            return await self._exchange(course, state, upstream, connection, progress)
-        finally:
-            if not progress.is_whole:
-                upstream.abort()
-            self._pool.release(upstream, now())
-            state.end(demand, progress.has_first, now())
-
-    async def _exchange(self, course, state, upstream, connection, progress):
-        started = now()
-        is_stream = course.route.kind == STREAM
-        silence = self._first_silence(course, started)
-        try:
-            upstream.send(
-                self._encode(course, state, started),
-                course.request.method,
-                lambda reply: self._answer_head(reply, course, state).is_ours,
-            )
-            async with asyncio.timeout(silence):
-                reply = await upstream.head()
-        except ResponseError as error:
-            return self._lost(course, state, started, "broken", error.message)
-        except TimeoutError:
-            return self._lost(course, state, started, "silent", "no answer")
-        head = self._answer_head(reply, course, state)
-        if head.has_not_run:
-            return self._rejected(course, state, head, started)
-        if is_stream and head.is_success:
-            return await self._follow(
-                course, state, upstream, connection, progress, head, started
-            )
-        return await self._whole(
-            course, state, upstream, connection, progress, head, started
-        )
-
-    def _first_silence(self, course, at):
-        left = course.left(at)
-        if not course.route.is_idempotent:
-            return left
-        if course.route.kind == STREAM:
-            return min(left, FIRST_EVENT_SILENCE)
-        return min(left, max(ANSWER_SILENCE_LEAST, left * ANSWER_SILENCE_SHARE))
-
-    def _encode(self, course, state, at):
-        request = course.request
-        headers = self._dialect.forwarded_headers(
-            request.headers,
-            course.demand,
-            state.back_end,
-            course.customer.name if course.customer else "",
-            course.priority,
-            course.left(at),
-            course.events.last_event,
-        )
-        return encode_request(request.method, request.path, headers, request.body)
-
-    def _answer_head(self, reply, course, state):
-        return self._dialect.answer_head(reply, course.id, state.back_end)
-
-    async def _whole(
-        self, course, state, upstream, connection, progress, head, started
-    ):
-        """Read a whole answer, then pass it on."""
-        try:
-            async with asyncio.timeout(course.left(now())):
-                body = await upstream.read_all()
-        except ResponseError as error:
-            return self._lost(course, state, started, "broken", error.message)
-        except TimeoutError:
-            return self._lost(course, state, started, "silent", "answer not complete")
-        progress.is_whole = True
-        if 200 <= head.status < 300 and not head.is_signed:
-            return self._lost(course, state, started, "broken", "no signature")
-        if head.status >= 500:
-            if course.route.is_idempotent and course.head is None:
-                course.failure = (head, body)
-                return self._lost(course, state, started, "failed", str(head.status))
-        else:
-            state.note_success(now(), now() - started)
-        if course.head is not None:
-            return self._lost(course, state, started, "broken", "not a stream")
-        connection.answer(head.status, head.headers, body)
-        self._note_end(course, state, "answered", started, str(head.status))
-        return None
-
-    async def _follow(
-        self, course, state, upstream, connection, progress, head, started
-    ):
-        """Pass on the events of a stream as they arrive."""
-        events = course.events
-        events.restart()
-        silence = self._first_silence(course, now())
-        gap = GAP_SILENCE if course.route.can_resume else 1e9
-        try:
-            while True:
-                left = course.left(now())
-                async with asyncio.timeout(min(left, silence)):
-                    data = await upstream.read()
-                if not data:
-                    break
-                whole = events.feed(data)
-                if events.is_too_long:
-                    return self._lost(course, state, started, "broken", "endless event")
-                if not whole:
-                    continue
-                course.note_event(now())
-                if not progress.has_first:
-                    progress.has_first = True
-                    state.note_first_byte(course.demand)
-                    state.note_success(now(), now() - started)
-                    silence = gap
-                self._pass_on(course, connection, head, whole)
-        except ResponseError as error:
-            return self._lost(course, state, started, "broken", error.message)
-        except TimeoutError:
-            return self._lost(course, state, started, "silent", "no further event")
-        progress.is_whole = True
-        self._pass_on(course, connection, head, events.rest)
-        connection.end()
-        self._note_end(course, state, "answered", started, "stream")
-        return None
-
-    @staticmethod
-    def _pass_on(course, connection, head, data):
-        if course.head is None:
-            course.head = head
-            connection.write_head(head.status, head.headers)
-        if data:
-            connection.write(data)
-
-    def _lost(self, course, state, started, how, message):
-        """Record an answer that did not come whole; return an `Unknown`."""
-        state.note_failure(now())
-        self._note_end(course, state, how, started, message)
-        if len(set(course.visited)) < course.route.attempts:
-            course.excluded.add(state.name)
-        status = 504 if course.left(now()) <= 0.0 else 502
-        return Unknown(status, how, message)
-
-    def _rejected(self, course, state, head, started):
-        """Record that a back end says it did not run the request."""
-        self._note_end(course, state, "rejected", started, str(head.status))
-        if head.is_other_back_end:
-            state.note_failure(now(), 4.0)
-            course.excluded.add(state.name)
-        elif head.status == 421:
-            state.adapters.pop(course.demand.held_name, None)
-            self._fleet.note_missing(state, course.demand.held_name)
-        else:
-            state.note_failure(now(), 0.5)
-            if len(set(course.visited)) < course.route.attempts:
-                course.excluded.add(state.name)
-        return NotRun(503, "rejected", "the back end is full", 0.3, can_retry=True)
-
     def _no_back_end(self, course, refusal):
         if course.may_have_run:
             return Unknown(502, refusal.reason, "no further back end may be asked")
         return NotRun(503, refusal.reason, "no back end", refusal.retry_after)
 
-    def _settle(self, course, outcome):
-        """Give the budget back for a request that did not run."""
-        if isinstance(outcome, NotRun) and not course.may_have_run:
-            if course.customer is not None:
-                self._fleet.give_back_budget(
-                    course.customer, _cost(course.customer, course.demand)
-                )
-
     def _answer_outcome(self, request, connection, outcome, request_id):
         self._metrics.count(f"refused.{outcome.code}")
         event = "refused" if isinstance(outcome, NotRun) else "failed"
@@ -494,43 +200,6 @@
             headers.append((b"Retry-After", b"%.3f" % outcome.retry_after))
         connection.answer(outcome.status, headers)
 
-    def _note_end(self, course, state, event, started, message):
-        seconds = now() - started
-        self._metrics.observe(event, course.route.kind, seconds)
-        self._log.write(
-            "send",
-            event,
-            request=course.id,
-            back_end=state.name,
-            sends=course.sends,
-            events=course.events.count,
-            seconds=round(seconds, 4),
-            first=round((course.first_at or now()) - course.request.arrived, 4),
-            gap=round(course.worst_gap, 4),
-            detail=message,
-        )
-
-
-@dataclass
-class _Progress:
-    """How far one send came."""
-
-    has_first: bool = False
-    is_whole: bool = False
-
-
-def _priority(route, customer):
-    if customer is not None and customer.priority is not None:
-        return customer.priority
-    return route.priority
-
-
-def _cost(customer, demand):
-    """Return what the request takes from its customer's budget."""
-    if not customer.budget.counts_tokens:
-        return 1
-    return demand.tokens or customer.budget.plain_tokens
-
 
 def _timed_out(course):
     if course.may_have_run:
--- a/rosemarypath/holding.py
+++ b/rosemarypath/holding.py
@@ -10,13 +10,11 @@
 holder relies on an echo, and then waits for a lease before its first order.
 """
 
-import asyncio
 from dataclasses import dataclass
 
 from rosemarypath.errors import (
     ConflictError,
     NotFoundError,
-    RosemarypathError,
     StoreUnavailableError,
 )
 from rosemarypath.hashing import rendezvous_order
@@ -65,7 +63,7 @@
         self._peers = peers
         self._store = store
         self._mirror = mirror
-        self._lease = lease
+        self.lease = lease
         self._usable_from = {}
         self._confirmed_at = float("-inf")
 
@@ -92,7 +90,7 @@
             return 0
         if holder.before:
             usable_from = self._usable_from.setdefault(
-                engine, lease_now + self._lease + LEASE_MARGIN
+                engine, lease_now + self.lease + LEASE_MARGIN
             )
             if lease_now < usable_from:
                 return 0
@@ -134,7 +132,7 @@
             return False
         return self.fence(engine, lease_now) != 0
 
-    async def take(self, engine, lease_now):
+    async def take(self, engine):
         """Write this daemon down as the holder; return whether that succeeded."""
         holder = self.holder(engine)
         try:
@@ -163,16 +161,6 @@
             return
         self._mirror.note_own(stored)
 
-    async def forget(self, engine):
-        """Remove the object of an engine that is gone for good."""
-        holder = self.holder(engine)
-        if holder is None:
-            return
-        try:
-            await self._store.delete(HOLDER_KIND, engine, holder.fence)
-        except RosemarypathError:
-            await asyncio.sleep(0)
-
     def _is_confirmed(self, lease_now):
         if lease_now - self._confirmed_at < CONFIRMED_SECONDS:
             return True
--- a/rosemarypath/mirror.py
+++ b/rosemarypath/mirror.py
@@ -47,9 +47,13 @@
         self.objects = {}
         self.is_known = False
 
+    def is_current(self, revision):
+        """Return whether it is known up to `revision`."""
+        return self.is_known and self.revision >= revision
+
     def replace(self, objects, revision):
         """Take over a list of all objects, unless a newer state is known."""
-        if self.is_known and revision <= self.revision:
+        if self.is_current(revision):
             return
         fresh = {stored.name: stored for stored in objects}
         for name, stored in self.objects.items():
--- /dev/null
+++ b/rosemarypath/news.py
@@ -0,0 +1,123 @@
+"""
+rosemarypath.news
+~~~~~~~~~~~~~~~~~
+
+Turns what the operator and the back ends write into what the daemon goes by.
+"""
+
+from rosemarypath.clock import now
+
+__all__ = ["PlatformNews"]
+
+
+class PlatformNews:
+    """
+    Takes the platform's kinds over into the `FleetView`.
+
+    Options:
+
+    `copies`
+        The `StoreCopies`.
+    `dialect`
+        Decodes the platform's objects.
+    `fleet`
+        The `FleetView`.
+    `log`
+        The `DecisionLog`.
+    ``on_limits(limits)``
+        Called with the `IngressLimits` of each new configuration.
+    """
+
+    def __init__(self, copies, dialect, fleet, log, on_limits):
+        self._copies = copies
+        self._dialect = dialect
+        self._fleet = fleet
+        self._log = log
+        self._on_limits = on_limits
+        add = copies.add
+        self._configuration = add(dialect.configuration_kind, self._on_configuration)
+        self._servers = add(dialect.server_kind, self._on_servers)
+        self._versions = add(dialect.version_kind, self._on_versions)
+        self._evacuations = add(dialect.evacuation_kind, self._on_evacuations)
+
+    @property
+    def is_complete(self):
+        """Return whether enough is known to serve callers."""
+        return self._fleet.table is not None and self._servers.is_known
+
+    def _on_configuration(self, changed, removed):
+        name = self._dialect.configuration_name
+        stored = self._configuration.objects.get(name)
+        if stored is None:
+            return
+        try:
+            table = self._dialect.decode_configuration(stored)
+        except ValueError as error:
+            self._log.write("configuration", "error", detail=str(error))
+            return
+        if not self._fleet.set_table(table, now()):
+            return
+        self._on_limits(table.limits)
+        self._log.write(
+            "configuration",
+            "adopted",
+            version=table.version,
+            revision=table.revision,
+            routes=sum(len(routes) for routes in table.routes.values()),
+            keys=len(table.customers),
+        )
+
+    def _on_servers(self, changed, removed):
+        for name in changed:
+            self._take_server(name, now())
+        for name in removed:
+            self._drop_server(name, "removed")
+
+    def _take_server(self, name, at):
+        entry = self._dialect.decode_server(self._servers.objects[name])
+        if entry is None:
+            self._drop_server(name, "unreadable entry")
+            return
+        known = self._fleet.back_ends.states.get(name)
+        was_leaving = known is not None and known.entry.is_leaving
+        self._fleet.set_back_end(entry, at)
+        if known is None or was_leaving != entry.is_leaving:
+            self._log.write(
+                "servers",
+                "leaving" if entry.is_leaving else "seen",
+                name=name,
+                service=entry.back_end.serves,
+                zone=entry.back_end.zone,
+                revision=self._servers.revision,
+            )
+
+    def _drop_server(self, name, why):
+        at = now()
+        may_be_lapse = self._copies.may_be_lapse(at)
+        self._fleet.remove_back_end(name, may_be_lapse, at)
+        self._log.write(
+            "servers",
+            "removed",
+            name=name,
+            why=why,
+            may_be_lapse=may_be_lapse,
+            revision=self._servers.revision,
+        )
+
+    def _on_versions(self, changed, removed):
+        versions = {}
+        for name in changed:
+            decoded = self._dialect.decode_version(self._versions.objects[name])
+            if decoded is None:
+                self._log.write("versions", "error", name=name, detail="unreadable")
+                continue
+            model, adapter, version = decoded
+            versions[f"{model}/{adapter}" if adapter else model] = version
+        self._fleet.set_versions(versions, now())
+        for name, version in versions.items():
+            self._log.write("versions", "announced", name=name, version=version)
+
+    def _on_evacuations(self, changed, removed):
+        zones = frozenset(self._evacuations.objects)
+        self._fleet.back_ends.evacuated = zones
+        self._log.write("evacuations", "zones", out=sorted(zones))
--- /dev/null
+++ b/rosemarypath/ordering.py
@@ -0,0 +1,118 @@
+"""
+rosemarypath.ordering
+~~~~~~~~~~~~~~~~~~~~~
+
+Runs a keeper for each engine whose orders this daemon gives.
+"""
+
+import asyncio
+
+from rosemarypath.clock import lease_now, now
+from rosemarypath.errors import RosemarypathError
+from rosemarypath.loading import EngineKeeper
+from rosemarypath.messages import LoadAsk, LoadReply
+
+__all__ = ["Ordering"]
+
+LOOK_SECONDS = 0.3  # between two looks at who gives orders
+FIRST_LOOK_SECONDS = 0.05  # the same just after a start, until some are known
+
+
+class Ordering:
+    """
+    Takes over engines that nobody gives orders to, and keeps those of this daemon.
+
+    Options:
+
+    `calls`
+        Sends orders to engines and asks for reports.
+    `fleet`
+        The `FleetView`, with its `Holdings`.
+    `peers`, `mesh`
+        The other daemons, and the links to them.
+    `health`
+        The `StoreHealth`.
+    `log`
+        The `DecisionLog`.
+    ``spawn(coroutine)``
+        Runs a task.
+    """
+
+    def __init__(self, calls, fleet, peers, mesh, health, log, spawn):
+        self._calls = calls
+        self._fleet = fleet
+        self._peers = peers
+        self._mesh = mesh
+        self._health = health
+        self._log = log
+        self._spawn = spawn
+        self._tasks = {}
+
+    async def run(self):
+        """Work until cancelled."""
+        self._mesh.on(LoadAsk, self._on_load_ask)
+        while True:
+            is_fresh = not self._fleet.keepers and self._fleet.is_fresh(now())
+            await asyncio.sleep(FIRST_LOOK_SECONDS if is_fresh else LOOK_SECONDS)
+            if not self._peers.is_known:
+                continue
+            self._match_keepers()
+            for state in self._fleet.engines():
+                try:
+                    await self._keep_holding(state)
+                except RosemarypathError as error:
+                    self._health.note_failure(now(), error.message)
+            self._match_keepers()
+
+    async def _keep_holding(self, state):
+        holdings = self._fleet.holdings
+        if holdings.wants(state.name, now(), lease_now()):
+            is_taken = await holdings.take(state.name)
+            self._log.write(
+                "orders",
+                "holder" if is_taken else "holder_conflict",
+                engine=state.name,
+                holder=self._peers.own.name,
+            )
+        elif holdings.wants_settling(state.name, lease_now()):
+            await holdings.settle(state.name)
+
+    def _match_keepers(self):
+        """Start and end keepers as the holders say."""
+        holdings = self._fleet.holdings
+        mine = {s.name: s for s in self._fleet.engines() if holdings.is_mine(s.name)}
+        for name, state in mine.items():
+            keeper = self._fleet.keepers.get(name)
+            if keeper is None or keeper.state is not state:
+                self._end_keeper(name)
+                self._start_keeper(state)
+        for name in self._fleet.keepers.keys() - mine.keys():
+            self._end_keeper(name)
+
+    def _start_keeper(self, state):
+        service = state.back_end.serves
+        keeper = EngineKeeper(
+            state,
+            self._calls,
+            self._fleet.holdings,
+            lambda: self._fleet.engine_plan(service),
+            self._fleet.newest_version,
+            self._log,
+            # The process before this one gave its last orders before this start.
+            self._peers.started_at,
+        )
+        self._fleet.keepers[state.name] = keeper
+        self._tasks[state.name] = self._spawn(keeper.run())
+
+    def _end_keeper(self, name):
+        self._fleet.keepers.pop(name, None)
+        task = self._tasks.pop(name, None)
+        if task is not None:
+            task.cancel()
+
+    async def _on_load_ask(self, identity, ask):
+        keeper = self._fleet.keepers.get(ask.back_end)
+        if keeper is None:
+            return LoadReply(False, "not_holder")
+        outcome = await keeper.ensure(ask.model, ask.adapter, ask.seconds)
+        return LoadReply(outcome.is_held, outcome.reason)
--- a/rosemarypath/platform/dialect.py
+++ b/rosemarypath/platform/dialect.py
@@ -7,7 +7,14 @@
 
 import msgspec
 
-from rosemarypath.platform import configuration, engine, requests, servers, store
+from rosemarypath.platform import (
+    configuration,
+    engine,
+    requests,
+    servers,
+    settings,
+    store,
+)
 
 __all__ = ["PlatformDialect"]
 
@@ -27,6 +34,7 @@
 
     store = store.PlatformStore
     engine_calls = engine.EngineCalls
+    read_settings = staticmethod(settings.read_settings)
     decode_configuration = staticmethod(configuration.decode_configuration)
     decode_version = staticmethod(configuration.decode_version)
     decode_server = staticmethod(servers.decode_server)
@@ -42,7 +50,7 @@
         return [(b"Content-Type", b"application/json")], body
 
     @staticmethod
-    def metrics_address(settings):
+    def metrics_address(edge_settings):
         """Return ``host:port`` where metrics are served."""
-        host = settings.peers_address.rpartition(":")[0]
+        host = edge_settings.peers_address.rpartition(":")[0]
         return f"{host}:{METRICS_PORT}"
--- a/rosemarypath/platform/store.py
+++ b/rosemarypath/platform/store.py
@@ -44,10 +44,14 @@
     """
 
     def __init__(self, address, pool):
-        self._address = address
         self._pool = pool
-        self._host = [(b"Host", address.encode())]
         self.calls = Counter()
+        self.move_to(address)
+
+    def move_to(self, address):
+        """Call the store at another ``host:port`` from now on."""
+        self._address = address
+        self._host = [(b"Host", address.encode())]
 
     async def list(self, kind):
         """Return all objects of `kind` and the store's revision at the first page."""
--- /dev/null
+++ b/rosemarypath/registration.py
@@ -0,0 +1,124 @@
+"""
+rosemarypath.registration
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The register of machines in the store, by which daemons find each other.
+"""
+
+import asyncio
+
+from rosemarypath.clock import lease_now, now
+from rosemarypath.errors import NotFoundError, RosemarypathError
+from rosemarypath.hashing import rendezvous_order
+from rosemarypath.machine import Machine
+
+__all__ = ["MACHINE_KIND", "Registration"]
+
+MACHINE_KIND = "rosemarypath-machines"
+RETRY_SECONDS = 0.3  # between tries to register
+FORGET_SECONDS = 12.0  # longer than a restart; a machine silent so long is struck out
+
+
+class Registration:
+    """
+    Keeps this daemon registered and learns of the others.
+
+    Options:
+
+    `own`
+        This daemon's `Machine`.
+    `store`, `copies`
+        Client of the store, and the `StoreCopies`.
+    `peers`, `mesh`
+        The other daemons, and the links to them.
+    `log`
+        The `DecisionLog`.
+    """
+
+    def __init__(self, own, store, copies, peers, mesh, log):
+        self._own = own
+        self._store = store
+        self._copies = copies
+        self._peers = peers
+        self._mesh = mesh
+        self._log = log
+        self._mirror = copies.add(MACHINE_KIND, self._on_machines)
+        self._missing = asyncio.Event()
+
+    async def run(self):
+        """Register, and again whenever another daemon has struck this one out."""
+        self._missing.set()
+        while True:
+            await self._missing.wait()
+            try:
+                stored = await self._write()
+            except RosemarypathError as error:
+                self._copies.health.note_failure(now(), error.message)
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            self._missing.clear()
+            self._mirror.note_own(stored)
+
+    async def strike_out_silent(self):
+        """Remove the machines that are gone, if this daemon is the one to do so."""
+        at = now()
+        if at - self._peers.started_at < FORGET_SECONDS:
+            return
+        for name, peer in list(self._peers.by_name.items()):
+            silent = at - max(peer.heard_at, peer.known_at)
+            is_first = rendezvous_order(name, self._peers.heard(at))[0]
+            if silent < FORGET_SECONDS or is_first != self._own.name:
+                continue
+            stored = self._mirror.objects.get(name)
+            if stored is None:
+                continue
+            try:
+                await self._store.delete(MACHINE_KIND, name, stored.version)
+            except RosemarypathError as error:
+                self._log.write("peers", "lost", name=name, why=error.message)
+                continue
+            self._log.write("peers", "removed", name=name, silent=round(silent, 1))
+
+    async def _write(self):
+        spec = {
+            "incarnation": self._own.incarnation,
+            "zone": self._own.zone,
+            "callers": self._own.callers_address,
+            "peers": self._own.peers_address,
+        }
+        try:
+            return await self._store.update(MACHINE_KIND, self._own.name, spec)
+        except NotFoundError:
+            return await self._store.create(MACHINE_KIND, self._own.name, spec)
+
+    def _on_machines(self, changed, removed):
+        machines = []
+        for stored in self._mirror.objects.values():
+            machine = _decode_machine(stored)
+            if machine is None:
+                self._log.write("peers", "error", name=stored.name, detail="unreadable")
+            else:
+                machines.append(machine)
+        for machine in self._peers.set_machines(machines, now(), lease_now()):
+            self._mesh.learn(machine.identity, machine.peers_address)
+            self._log.write("peers", "seen", name=machine.name)
+        kept = {self._own.identity}
+        kept.update(p.machine.identity for p in self._peers.by_name.values())
+        self._mesh.forget_all_but(kept)
+        if self._own.name not in self._mirror.objects:
+            self._missing.set()
+
+
+def _decode_machine(stored):
+    """Return the `Machine` of an entry; ``None`` when it cannot be read."""
+    spec = stored.spec
+    try:
+        return Machine(
+            name=stored.name,
+            incarnation=spec["incarnation"],
+            zone=spec["zone"],
+            callers_address=spec["callers"],
+            peers_address=spec["peers"],
+        )
+    except (KeyError, TypeError):
+        return None
--- a/rosemarypath/routing.py
+++ b/rosemarypath/routing.py
@@ -150,6 +150,12 @@
     budget: Budget = Budget()
     priority: int | None = None
 
+    def cost_of(self, tokens):
+        """Return what a request of `tokens` (0: not said) takes from the budget."""
+        if not self.budget.counts_tokens:
+            return 1
+        return tokens or self.budget.plain_tokens
+
 
 @dataclass(frozen=True)
 class RoutingTable:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -110,12 +110,12 @@
 
 def test_a_peer_that_is_behind_too_does_not_put_off_the_question_for_news():
     async def scenario(fleet):
-        daemon = fleet.daemons[0]
+        copies = fleet.daemons[0].copies
         asked = []
-        daemon.ask_for_news = lambda identity, ask: asked.append(ask)
+        copies.ask_for_news = lambda identity, mirror: asked.append(mirror.kind)
         for tick in range(20):
-            daemon.note_revisions("ahead", {"config": 10**9}, tick * 0.1)
-            daemon.note_revisions("behind", {"config": 1}, tick * 0.1)
+            copies.note_revisions("ahead", {"config": 10**9}, tick * 0.1)
+            copies.note_revisions("behind", {"config": 1}, tick * 0.1)
         assert len(asked) >= 5
 
     play(scenario, daemons=1)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -292,7 +292,8 @@
         holder = next(d for d in fleet.daemons if d.ordered_engines)
         other = next(n for n, d in enumerate(fleet.daemons) if d is not holder)
         silent = set(holder.ordered_engines)
-        holder.freeze()
+        holder.cancel_tasks()
+        holder.mesh.mute()
         loop = asyncio.get_running_loop()
         for number in range(6):
             started = loop.time()
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -145,7 +145,7 @@
             node.mirror.replace(list(store.objects.values()), store.revision)
             if node.holdings.wants("engine", now, now):
                 try:
-                    await node.holdings.take("engine", now)
+                    await node.holdings.take("engine")
                 except StoreUnavailableError:
                     pass
         await node.holdings.confirm(now)
@@ -188,7 +188,7 @@
                 if tick >= 50 and node.name == first:
                     continue
                 if node.holdings.wants("engine", now, now):
-                    await node.holdings.take("engine", now)
+                    await node.holdings.take("engine")
                     first = first or node.name
                 await node.holdings.confirm(now)
                 if node.holdings.fence("engine", now) and node.name != first:
@@ -206,7 +206,7 @@
 
     async def run():
         node.mirror.replace([], 1)
-        assert await node.holdings.take("engine", 0.0)
+        assert await node.holdings.take("engine")
         fence = node.holdings.fence("engine", 0.1)
         again = Node("a", ["a"], store, 10.0)
         again.mirror.replace(list(store.objects.values()), store.revision)
