Ask for a load's end when it can be there; forget old uses of adapters

What no code used is gone (unsure places, three constants). Uses of adapters and counts of restarted peers are bounded.

--- a/rosemarypath/backends.py
+++ b/rosemarypath/backends.py
@@ -13,6 +13,7 @@
 PEER_LOAD_SECONDS = 1.0  # a peer's count is dropped when it is older
 REMOVAL_GRACE = 2.0  # seconds that an entry lost around an outage still counts
 UNSTABLE_SECONDS = 3.0  # after a failure of the store, removals may be lapses
+MOST_USES = 1000  # adapters whose last use is remembered for one engine
 COLD_WINDOW = 1.0  # seconds over which sends to a cold back end are bounded
 HOLDER_WORD_SECONDS = 2.0  # the order holder's word beats the list's for so long
 SLOW_SHARE = 0.1  # weight of a new latency in the moving average
@@ -149,6 +150,12 @@
         age = max(0.0, now - self._failed_at)
         return self._failures * 0.5 ** (age / FAILURE_HALF_LIFE)
 
+    def forget_old_uses(self):
+        """Drop the oldest uses of adapters, beyond some times what an engine holds."""
+        if len(self.last_used) > MOST_USES:
+            newest = sorted(self.last_used, key=self.last_used.get)[-MOST_USES // 2 :]
+            self.last_used = {name: self.last_used[name] for name in newest}
+
     def set_entry(self, entry, now):
         """Put a newer entry in force."""
         if entry.born != self.entry.born:
@@ -207,7 +214,7 @@
             self._drop(name)
 
     def drop_removed(self, now):
-        """Drop the entries whose grace is over; return their names."""
+        """Drop entries whose grace is over, and old uses; return the entries' names."""
         gone = [
             name
             for name, state in self.states.items()
@@ -215,6 +222,8 @@
         ]
         for name in gone:
             self._drop(name)
+        for state in self.states.values():
+            state.forget_old_uses()
         return gone
 
     def usable(self, service):
--- a/rosemarypath/choice.py
+++ b/rosemarypath/choice.py
@@ -18,7 +18,6 @@
 
 PREFILL_TOKENS_PER_SECOND = 25_000.0  # what one engine reads; from the users' sheet
 LOAD_SECONDS = 0.3  # an adapter's load with its order, from the users' sheet
-BLOCKED_SECONDS = 5.0  # a replacement waits for streams of some seconds
 HOME_STEP = 0.02  # seconds of difference that keep an adapter at its home
 RUNNING_SECONDS = 0.002  # what one more running request costs a new one
 QUEUE_SECONDS = 0.05  # what each request beyond the slots costs a new one
--- a/rosemarypath/loading.py
+++ b/rosemarypath/loading.py
@@ -20,7 +20,6 @@
 LOAD_LOST_SECONDS = 3.0  # a load that takes longer is looked up in a report
 HOUSEKEEPING_SECONDS = 0.5  # between two looks at versions and missing models
 REFRESH_PAUSE = 0.4  # seconds; reports lag by half as much
-UNSURE_SECONDS = 15.0  # an order without an answer may be carried out so late
 RECENT_SECONDS = 8.0  # an adapter used since is brought to its newest version
 
 
@@ -255,7 +254,12 @@
                 self._drop_coming(name)
                 self._orders = None
             else:
-                self._checks[name] = now() + CHECK_SECONDS
+                self._checks[name] = self._next_check(name)
+
+    def _next_check(self, name):
+        """Return when to ask again: a load takes either a tenth or the whole time."""
+        ordered_at = self._places.coming.get(name, now())
+        return max(now() + CHECK_SECONDS, ordered_at + LATE_CHECK_SECONDS)
 
     def _arrive(self, name):
         self._drop_coming(name)
--- a/rosemarypath/places.py
+++ b/rosemarypath/places.py
@@ -18,21 +18,21 @@
     The adapter places of one engine; `limit` is how many there are.
 
     `held` maps names to versions, `coming` maps names to when their load was ordered,
-    `unsure` holds names whose order had no answer and may still be carried out.
+    `leaving` holds names whose unload waits for their last request. An order without an
+    answer needs no place: the next one that is accepted raises the count of orders,
+    which makes it void, and a conflict shows that it was carried out.
     """
 
     def __init__(self, limit):
         self.limit = limit
         self.held = {}
         self.coming = {}
-        self.unsure = {}
         self.leaving = set()
 
     @property
     def taken(self):
         """Return how many places are or may become taken."""
-        names = self.held.keys() | self.coming.keys() | self.unsure.keys()
-        return len(names | self.leaving)
+        return len(self.held.keys() | self.coming.keys() | self.leaving)
 
     @property
     def can_order(self):
@@ -56,7 +56,6 @@
             name
             for name in self.held
             if name not in self.coming
-            and name not in self.unsure
             and name not in self.leaving
             and not is_in_use(name)
         ]
--- a/rosemarypath/platform/requests.py
+++ b/rosemarypath/platform/requests.py
@@ -23,7 +23,6 @@
 SIGNATURE = b"x-response-signature"
 NOT_RUN = b"x-not-executed"
 INSTANCE = b"x-instance-id"
-COLD = b"x-cold-ms"
 MISDIRECTED = 421
 PRIORITY_MOST = 9
 DEFAULT_DEADLINE = 60.0  # seconds, where a caller names none
--- a/rosemarypath/shares.py
+++ b/rosemarypath/shares.py
@@ -78,20 +78,17 @@
             level.spent -= tokens
 
     def note_peer(self, identity, spent):
-        """Take what a peer says that it granted since its start."""
-        known = self._peer_spent.get(identity)
-        self._peer_spent[identity] = spent
-        if known is None:
+        """Take what the peer ``name/incarnation`` granted since its start."""
+        name, _, incarnation = identity.partition("/")
+        known_incarnation, known = self._peer_spent.get(name, ("", {}))
+        self._peer_spent[name] = (incarnation, spent)
+        if known_incarnation != incarnation:
             return
         for name, tokens in spent.items():
             level = self._levels.get(name)
             if level is not None:
                 level.tokens -= tokens - known.get(name, 0)
 
-    def forget_peer(self, identity):
-        """Drop the counts of a peer that is gone."""
-        self._peer_spent.pop(identity, None)
-
     def _refilled(self, customer, share, now):
         budget = customer.budget
         level = self._levels.get(customer.name)
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -20,7 +20,7 @@
     p = places({"a": 1})
     p.coming["b"] = 0.0
     p.leaving.add("a")
-    p.unsure["c"] = 0.0
+    p.coming["c"] = 0.0
     assert p.taken == 3
     assert p.has_room
     p.coming["d"] = 0.0
