--- a/rosemarypath/admission.py
+++ b/rosemarypath/admission.py
@@ -6,10 +6,10 @@
 """
 
 from rosemarypath.clock import now
-from rosemarypath.course import Course
 from rosemarypath.demand import BadRequestError
 from rosemarypath.events import EventSplitter
 from rosemarypath.outcome import NotRun
+from rosemarypath.requestcontext import RequestContext
 
 __all__ = ["Admission"]
 
@@ -39,7 +39,7 @@
         self._metrics = metrics
 
     def admit(self, request):
-        """Return the `Course` of a request that may run, else a `NotRun`."""
+        """Return the `RequestContext` of a request that may run, else a `NotRun`."""
         table = self._fleet.table
         if table is None:
             return NotRun(
@@ -68,7 +68,7 @@
             refusal = self._take_budget(demand, customer)
             if refusal is not None:
                 return refusal
-        course = Course(
+        context = RequestContext(
             request,
             demand,
             route,
@@ -78,7 +78,7 @@
             events=EventSplitter(demand.last_event),
             priority=_priority(route, customer),
         )
-        self._fleet.note_request(course.service)
+        self._fleet.note_request(context.service)
         self._log.write(
             "entry",
             "admitted",
@@ -89,7 +89,7 @@
             tokens=demand.tokens,
             version=self._fleet.table.version,
         )
-        return course
+        return context
 
     def _take_budget(self, demand, customer):
         """Take the request's cost; return a `NotRun` when it is not there."""
@@ -108,13 +108,13 @@
         )
         return NotRun(429, "over_budget", "over the rate", wait)
 
-    def settle(self, course, outcome):
+    def settle(self, context, outcome):
         """Give the budget back for a request that did not run."""
-        if not isinstance(outcome, NotRun) or course.may_have_run:
+        if not isinstance(outcome, NotRun) or context.may_have_run:
             return
-        if course.customer is not None:
-            cost = course.customer.cost_of(course.demand.tokens)
-            self._fleet.give_back_budget(course.customer, cost)
+        if context.customer is not None:
+            cost = context.customer.cost_of(context.demand.tokens)
+            self._fleet.give_back_budget(context.customer, cost)
 
 
 def _priority(route, customer):
--- a/rosemarypath/backends.py
+++ b/rosemarypath/backends.py
@@ -15,7 +15,7 @@
 UNSTABLE_SECONDS = 3.0  # after a failure of the store, removals may be lapses
 MOST_USES = 1000  # adapters whose last use is remembered for one engine
 COLD_WINDOW = 1.0  # seconds over which sends to a cold back end are bounded
-HOLDER_WORD_SECONDS = 2.0  # the order holder's word beats the list's for so long
+HOLDER_REPORT_SECONDS = 2.0  # the order holder's report outdates the list for so long
 SLOW_SHARE = 0.1  # weight of a new latency in the moving average
 
 
@@ -49,7 +49,7 @@
         self.cold_until = now + entry.cold_seconds
         self.last_used = {}
         self.latency = 0.0
-        self.holder_told_at = float("-inf")
+        self.holder_reported_at = float("-inf")
 
     @property
     def back_end(self):
@@ -165,12 +165,12 @@
         self.seen_at = now
         self.removed_at = None
         self.cold_until = now + entry.cold_seconds
-        if now - self.holder_told_at > HOLDER_WORD_SECONDS:
+        if now - self.holder_reported_at > HOLDER_REPORT_SECONDS:
             self.set_models(entry.models)
 
-    def note_holder_word(self, models, now):
+    def note_holder_report(self, models, now):
         """Take over what its order holder says that it holds, which is newer."""
-        self.holder_told_at = now
+        self.holder_reported_at = now
         self.set_models(models)
 
     def set_models(self, models):
--- a/rosemarypath/copies.py
+++ b/rosemarypath/copies.py
@@ -123,7 +123,7 @@
             if mirror is not None and not mirror.is_current(revision):
                 self._note_behind(identity, mirror, revision, now)
 
-    def ask_for_news(self, identity, mirror):
+    def ask_for_snapshot(self, identity, mirror):
         """Ask a peer for a newer copy."""
         self._mesh.send(identity, MirrorAsk(mirror.kind, mirror.revision))
 
@@ -135,7 +135,7 @@
             known = self._behind[mirror.kind] = _Behind(revision, now)
         if now - known.since >= RELAY_SECONDS or not mirror.is_known:
             self._behind[mirror.kind] = _Behind(revision, now)
-            self.ask_for_news(identity, mirror)
+            self.ask_for_snapshot(identity, mirror)
 
     def _pass_events(self, mirror, since, events):
         """Pass on what a watch brought to the daemons that this one serves."""
@@ -157,7 +157,7 @@
         if mirror is None or not mirror.is_known:
             return
         if mirror.revision < message.since:
-            self.ask_for_news(identity, mirror)
+            self.ask_for_snapshot(identity, mirror)
             return
         events = [(StoredObject(*fields[:3]), fields[3]) for fields in message.events]
         self._is_relay_unstable = message.is_unstable
--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -24,9 +24,9 @@
 from rosemarypath.listener import Listener
 from rosemarypath.machine import Machine, new_incarnation
 from rosemarypath.messages import PeerState
-from rosemarypath.news import PlatformNews
 from rosemarypath.ordering import Ordering
 from rosemarypath.peers import Peers
+from rosemarypath.platformstate import PlatformState
 from rosemarypath.registration import Registration
 from rosemarypath.routing import IngressLimits
 
@@ -83,7 +83,7 @@
         self._registration = Registration(
             own, self._store, self._copies, self._peers, self._mesh, self._log
         )
-        self._news = PlatformNews(
+        self._state = PlatformState(
             self._copies, dialect, self._fleet, self._log, self._set_limits
         )
         self._ordering = Ordering(
@@ -107,7 +107,7 @@
     @property
     def is_ready(self):
         """Return whether callers may be sent here."""
-        return self._news.is_complete and not self._stopping.is_set()
+        return self._state.is_complete and not self._stopping.is_set()
 
     @property
     def is_watching(self):
@@ -150,7 +150,7 @@
         self._copies.start(self._spawn)
         self._spawn(self._registration.run())
         self._spawn(self._beat())
-        self._spawn(self._keep_house())
+        self._spawn(self._do_housekeeping())
         self._spawn(self._ordering.run())
         self._spawn(self._flush_log())
 
@@ -246,13 +246,13 @@
             self._mesh.check_silence(now(), LINK_SILENCE)
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
-    async def _keep_house(self):
+    async def _do_housekeeping(self):
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             for name in self._fleet.back_ends.drop_removed(now()):
                 self._log.write("servers", "removed", name=name, why="did not return")
             self._pool.drop_stale(now())
-            await self._registration.strike_out_silent()
+            await self._registration.remove_silent()
 
     async def _flush_log(self):
         while True:
--- a/rosemarypath/explaining.py
+++ b/rosemarypath/explaining.py
@@ -34,7 +34,7 @@
 @dataclass(frozen=True)
 class Explanation:
     """
-    A request's course.
+    What became of a request.
 
     `records` are its log lines in order, `context` what the same daemons learned
     shortly before its end, `outcome` its end and `cause` why, in a sentence.
@@ -50,7 +50,7 @@
 
     @property
     def lines(self):
-        """Return the course as text, one decision a line."""
+        """Return it as text, one decision a line."""
         if not self.records:
             return [f"{self.request}: no log line names it"]
         start = self.records[0]["at"]
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -205,7 +205,7 @@
                 known.note_peer_load(name, *load, now)
             held = state.held.get(back_end)
             if held is not None and back_end not in self.keepers:
-                known.note_holder_word([HeldModel(*entry) for entry in held], now)
+                known.note_holder_report([HeldModel(*entry) for entry in held], now)
 
     def own_loads(self):
         """Return running requests, unread prompt tokens and adapters by back end."""
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -62,122 +62,122 @@
             self._log.write("entry", "rejected", status=request.status)
             connection.answer(request.status, [], closes=True)
             return
-        course = self._admission.admit(request)
-        if isinstance(course, NotRun):
-            self._answer_outcome(request, connection, course, "")
+        context = self._admission.admit(request)
+        if isinstance(context, NotRun):
+            self._answer_outcome(request, connection, context, "")
             return
         try:
-            outcome = await self._run(course, connection)
+            outcome = await self._run(context, connection)
         except asyncio.CancelledError:
-            self._log.write("entry", "left", request=course.id)
+            self._log.write("entry", "left", request=context.id)
             raise
         if outcome is not None:
-            self._admission.settle(course, outcome)
-            self._answer_outcome(request, connection, outcome, course.id)
+            self._admission.settle(context, outcome)
+            self._answer_outcome(request, connection, outcome, context.id)
 
-    async def _run(self, course, connection):
+    async def _run(self, context, connection):
         """Try back ends until the answer is sent (``None``) or an outcome stands."""
         while True:
             at = now()
-            if course.left(at) <= 0.0:
-                return _timed_out(course)
-            choice = self._choose(course, at)
+            if context.left(at) <= 0.0:
+                return _timed_out(context)
+            choice = self._choose(context, at)
             if isinstance(choice, Refusal):
-                if self._may_wait_for_load(course, choice, at):
-                    course.unloadable.clear()
+                if self._may_wait_for_load(context, choice, at):
+                    context.unloadable.clear()
                     await asyncio.sleep(PLACE_PAUSE)
                     continue
-                outcome = self._no_back_end(course, choice)
-                return self._final(course, outcome, connection)
+                outcome = self._no_back_end(context, choice)
+                return self._final(context, outcome, connection)
             if choice.needs_load:
-                await self._load(course, choice.state)
+                await self._load(context, choice.state)
                 continue
-            outcome = await self._sender.send(course, choice.state, connection)
+            outcome = await self._sender.send(context, choice.state, connection)
             if outcome is None:
                 return None
             if isinstance(outcome, Unknown):
-                course.may_have_run = True
-            if not self._may_send_again(course, outcome):
-                return self._final(course, outcome, connection)
+                context.may_have_run = True
+            if not self._may_send_again(context, outcome):
+                return self._final(context, outcome, connection)
             if outcome.code == "rejected":
                 await asyncio.sleep(RESEND_PAUSE)
 
-    def _may_wait_for_load(self, course, refusal, at):
+    def _may_wait_for_load(self, context, refusal, at):
         """Return whether a place or a holder of orders may still turn up in time."""
-        if refusal.reason != "cannot_load" or course.left(at) < PLACE_WAIT:
+        if refusal.reason != "cannot_load" or context.left(at) < PLACE_WAIT:
             return False
-        if not course.unloadable and not self._fleet.is_fresh(at):
+        if not context.unloadable and not self._fleet.is_fresh(at):
             return False
-        if course.waits_since is None:
-            course.waits_since = at
-        return at - course.waits_since < PLACE_WAIT
+        if context.waits_since is None:
+            context.waits_since = at
+        return at - context.waits_since < PLACE_WAIT
 
-    def _final(self, course, outcome, connection):
+    def _final(self, context, outcome, connection):
         """Return the outcome to answer with, ``None`` when a back end's was used."""
-        if course.failure is not None and course.head is None:
-            head, body = course.failure
+        if context.failure is not None and context.head is None:
+            head, body = context.failure
             connection.answer(head.status, head.headers, body)
             return None
-        if isinstance(outcome, NotRun) and course.may_have_run:
+        if isinstance(outcome, NotRun) and context.may_have_run:
             return Unknown(502, outcome.code, outcome.message)
         return outcome
 
-    def _choose(self, course, at):
-        demand = course.demand
-        states = self._fleet.usable(course.service)
+    def _choose(self, context, at):
+        demand = context.demand
+        states = self._fleet.usable(context.service)
         version, learned_at = self._fleet.version_of(demand.held_name)
         facts = ChoiceFacts(
             zone=self._fleet.zone,
             version=version,
             version_age=at - learned_at,
-            excluded=self._excluded(course),
-            unloadable=self._fleet.unloadable(states, at) | course.unloadable,
-            cold_sends=self._fleet.cold_sends(course.service, at),
+            excluded=self._excluded(context),
+            unloadable=self._fleet.unloadable(states, at) | context.unloadable,
+            cold_sends=self._fleet.cold_sends(context.service, at),
         )
         return choose_back_end(states, demand, facts, at)
 
-    def _excluded(self, course):
+    def _excluded(self, context):
         """Return the back ends that may not get the request any more."""
-        excluded = frozenset(course.excluded)
-        if len(set(course.visited)) < course.route.attempts:
+        excluded = frozenset(context.excluded)
+        if len(set(context.visited)) < context.route.attempts:
             return excluded
-        names = {state.name for state in self._fleet.usable(course.service)}
-        return excluded | (names - set(course.visited))
+        names = {state.name for state in self._fleet.usable(context.service)}
+        return excluded | (names - set(context.visited))
 
-    async def _load(self, course, state):
-        demand = course.demand
-        seconds = course.left(now()) * LOAD_WAIT_SHARE
+    async def _load(self, context, state):
+        demand = context.demand
+        seconds = context.left(now()) * LOAD_WAIT_SHARE
         started = now()
         outcome = await self._fleet.ensure(
             state, demand.model, demand.adapter, max(LOAD_WAIT_LEAST, seconds)
         )
         if not outcome.is_held:
-            course.unloadable.add(state.name)
+            context.unloadable.add(state.name)
         self._log.write(
             "load",
             "loaded" if outcome.is_held else "lost",
-            request=course.id,
+            request=context.id,
             engine=state.name,
             adapter=demand.adapter,
             why=outcome.reason,
             seconds=round(now() - started, 4),
         )
 
-    def _may_send_again(self, course, outcome):
-        if course.sends >= MOST_SENDS or course.left(now()) <= 0.0:
+    def _may_send_again(self, context, outcome):
+        if context.sends >= MOST_SENDS or context.left(now()) <= 0.0:
             return False
-        if isinstance(outcome, Unknown) and not course.route.is_idempotent:
+        if isinstance(outcome, Unknown) and not context.route.is_idempotent:
             return False
         if isinstance(outcome, NotRun) and outcome.code == "unreachable":
             return True
-        if not self._fleet.spend_retry(course.service, now()):
+        if not self._fleet.spend_retry(context.service, now()):
             self._metrics.count("retries.over_budget")
             return False
         self._metrics.count("retries")
         return True
 
-    def _no_back_end(self, course, refusal):
-        if course.may_have_run:
+    def _no_back_end(self, context, refusal):
+        if context.may_have_run:
             return Unknown(502, refusal.reason, "no further back end may be asked")
         return NotRun(503, refusal.reason, "no back end", refusal.retry_after)
 
@@ -201,7 +201,7 @@
         connection.answer(outcome.status, headers)
 
 
-def _timed_out(course):
-    if course.may_have_run:
+def _timed_out(context):
+    if context.may_have_run:
         return Unknown(504, "deadline", "the deadline passed")
     return NotRun(503, "deadline", "no back end was free in time")
--- a/rosemarypath/holding.py
+++ b/rosemarypath/holding.py
@@ -110,7 +110,7 @@
         self._confirmed_at = lease_now
         return True
 
-    def wants(self, engine, now, lease_now):
+    def should_take(self, engine, now, lease_now):
         """Return whether this daemon should write itself down as the holder."""
         if not self._mirror.is_known:
             return False
@@ -125,7 +125,7 @@
             return False
         return self._peers.may_take_over_from(holder.machine, lease_now)
 
-    def wants_settling(self, engine, lease_now):
+    def should_settle(self, engine, lease_now):
         """Return whether the holder before can be struck out."""
         holder = self.holder(engine)
         if holder is None or holder.machine != self._machine or not holder.before:
@@ -164,4 +164,4 @@
     def _is_confirmed(self, lease_now):
         if lease_now - self._confirmed_at < CONFIRMED_SECONDS:
             return True
-        return self._peers.all_vouch(HOLDER_KIND, self._mirror.newest, lease_now)
+        return self._peers.all_acknowledged(HOLDER_KIND, self._mirror.newest, lease_now)
--- a/rosemarypath/loading.py
+++ b/rosemarypath/loading.py
@@ -381,4 +381,4 @@
     def _tell_state(self):
         """Put what is held into the engine's state, for choices made here."""
         models = tuple(HeldModel(*entry) for entry in self.held)
-        self.state.note_holder_word(models, now())
+        self.state.note_holder_report(models, now())
--- a/rosemarypath/ordering.py
+++ b/rosemarypath/ordering.py
@@ -66,7 +66,7 @@
 
     async def _keep_holding(self, state):
         holdings = self._fleet.holdings
-        if holdings.wants(state.name, now(), lease_now()):
+        if holdings.should_take(state.name, now(), lease_now()):
             is_taken = await holdings.take(state.name)
             self._log.write(
                 "orders",
@@ -74,7 +74,7 @@
                 engine=state.name,
                 holder=self._peers.own.name,
             )
-        elif holdings.wants_settling(state.name, lease_now()):
+        elif holdings.should_settle(state.name, lease_now()):
             await holdings.settle(state.name)
 
     def _match_keepers(self):
--- a/rosemarypath/peers.py
+++ b/rosemarypath/peers.py
@@ -16,9 +16,9 @@
 WATCHER_SILENT_SECONDS = 0.7  # three heartbeats; then another one watches
 WATCHERS = 3  # machines that watch the store; two may fail at once
 WATCH_RESOURCE = "watch"
-FIRST_WORDS_SECONDS = 1.5  # time in which all have spoken after a common restart
-VOUCH_SECONDS = 2.0  # an echo vouches for the time since its heartbeat was sent
-TAKEOVER_SECONDS = 2.6  # longer than a vouch, so that no two daemons hold orders
+FIRST_HEARTBEAT_SECONDS = 1.5  # all have sent one by then after a common restart
+ACKNOWLEDGED_SECONDS = 2.0  # how long an acknowledged heartbeat counts, from sending
+TAKEOVER_SECONDS = 2.6  # longer than that, so that no two daemons hold orders
 
 
 @dataclass
@@ -26,8 +26,8 @@
     """
     One other daemon.
 
-    `heard_at` is by the clock for timeouts, `vouched_at` (when the newest heartbeat
-    that it echoed was sent) and `lease_heard_at` by the clock for leases.
+    `heard_at` is by the clock for timeouts; `acknowledged_at` (when the newest
+    heartbeat that it acknowledged was sent) and `lease_heard_at` by that for leases.
     """
 
     machine: Machine
@@ -35,7 +35,7 @@
     lease_known_at: float
     heard_at: float = float("-inf")
     lease_heard_at: float = float("-inf")
-    vouched_at: float = float("-inf")
+    acknowledged_at: float = float("-inf")
     number: int = 0
     is_leaving: bool = False
     is_ready: bool = False
@@ -100,8 +100,8 @@
         peer.has_store = state.has_store
         peer.spent = state.spent
         peer.revisions = state.revisions
-        peer.vouched_at = max(
-            peer.vouched_at, self._sent.get(state.heard, float("-inf"))
+        peer.acknowledged_at = max(
+            peer.acknowledged_at, self._sent.get(state.heard, float("-inf"))
         )
         return peer
 
@@ -115,7 +115,7 @@
         peer = self.by_name.get(name)
         if peer is None:
             return False
-        if now - self.started_at < FIRST_WORDS_SECONDS:
+        if now - self.started_at < FIRST_HEARTBEAT_SECONDS:
             return True
         return now - peer.heard_at < SILENT_SECONDS
 
@@ -126,7 +126,7 @@
         ]
         return [self.own.name, *names]
 
-    def all_vouch(self, kind, revision, lease_now):
+    def all_acknowledged(self, kind, revision, lease_now):
         """
         Return whether every other registered machine has lately heard this daemon,
         and so takes nothing over from it, and none knows `kind` at a newer revision
@@ -136,7 +136,7 @@
             return False
         for name in self.registered:
             peer = self.by_name.get(name)
-            if peer is None or lease_now - peer.vouched_at > VOUCH_SECONDS:
+            if peer is None or lease_now - peer.acknowledged_at > ACKNOWLEDGED_SECONDS:
                 return False
             if peer.revisions.get(kind, 0) > revision:
                 return False
@@ -158,7 +158,7 @@
 
         Just after its start all count as heard, as they may only be about to speak.
         """
-        if now - self.started_at < FIRST_WORDS_SECONDS:
+        if now - self.started_at < FIRST_HEARTBEAT_SECONDS:
             return 1.0
         total = len(self.by_name) + 1
         return len(self.heard(now)) / total
--- a/rosemarypath/news.py
+++ b/rosemarypath/platformstate.py
@@ -1,16 +1,16 @@
 """
-rosemarypath.news
-~~~~~~~~~~~~~~~~~
+rosemarypath.platformstate
+~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Turns what the operator and the back ends write into what the daemon goes by.
 """
 
 from rosemarypath.clock import now
 
-__all__ = ["PlatformNews"]
+__all__ = ["PlatformState"]
 
 
-class PlatformNews:
+class PlatformState:
     """
     Takes the platform's kinds over into the `FleetView`.
 
--- a/rosemarypath/registration.py
+++ b/rosemarypath/registration.py
@@ -16,7 +16,7 @@
 
 MACHINE_KIND = "rosemarypath-machines"
 RETRY_SECONDS = 0.3  # between tries to register
-FORGET_SECONDS = 12.0  # longer than a restart; a machine silent so long is struck out
+FORGET_SECONDS = 12.0  # longer than a restart; a machine silent so long is removed
 
 
 class Registration:
@@ -46,7 +46,7 @@
         self._missing = asyncio.Event()
 
     async def run(self):
-        """Register, and again whenever another daemon has struck this one out."""
+        """Register, and again whenever another daemon has removed this one."""
         self._missing.set()
         while True:
             await self._missing.wait()
@@ -59,7 +59,7 @@
             self._missing.clear()
             self._mirror.note_own(stored)
 
-    async def strike_out_silent(self):
+    async def remove_silent(self):
         """Remove the machines that are gone, if this daemon is the one to do so."""
         at = now()
         if at - self._peers.started_at < FORGET_SECONDS:
--- a/rosemarypath/course.py
+++ b/rosemarypath/requestcontext.py
@@ -1,17 +1,17 @@
 """
-rosemarypath.course
-~~~~~~~~~~~~~~~~~~~
+rosemarypath.requestcontext
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 One request on its way through the daemon.
 """
 
 from dataclasses import dataclass, field
 
-__all__ = ["Course", "Progress"]
+__all__ = ["RequestContext", "Progress"]
 
 
 @dataclass
-class Course:
+class RequestContext:
     """
     One request on its way.
 
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -8,10 +8,10 @@
 import asyncio
 
 from rosemarypath.clock import now
-from rosemarypath.course import Progress
 from rosemarypath.errors import ConnectError, ResponseError
 from rosemarypath.httpclient import encode_request
 from rosemarypath.outcome import NotRun, Unknown
+from rosemarypath.requestcontext import Progress
 from rosemarypath.routing import STREAM
 
 __all__ = ["Sender"]
@@ -51,190 +51,192 @@
         self._log = log
         self._metrics = metrics
 
-    async def send(self, course, state, connection):
+    async def send(self, context, state, connection):
         """Send the request once; return ``None`` when the answer was sent."""
         started = now()
-        demand = course.demand
-        is_fresh = not course.route.is_idempotent
+        demand = context.demand
+        is_fresh = not context.route.is_idempotent
         try:
             upstream = await self._pool.acquire(
                 state.back_end.address, started, is_fresh
             )
         except ConnectError as error:
             state.note_failure(now(), UNREACHABLE_WEIGHT)
-            self._note_end(course, state, "unreachable", started, error.message)
-            course.excluded.add(state.name)
+            self._note_end(context, state, "unreachable", started, error.message)
+            context.excluded.add(state.name)
             return NotRun(503, "unreachable", error.message, UNREACHABLE_RETRY, True)
-        course.sends += 1
-        course.visited.append(state.name)
+        context.sends += 1
+        context.visited.append(state.name)
         state.begin(demand, started)
         progress = Progress()
         try:
-            return await self._exchange(course, state, upstream, connection, progress)
+            return await self._exchange(context, state, upstream, connection, progress)
         finally:
             if not progress.is_whole:
                 upstream.abort()
             self._pool.release(upstream, now())
             state.end(demand, progress.has_first, now())
 
-    async def _exchange(self, course, state, upstream, connection, progress):
+    async def _exchange(self, context, state, upstream, connection, progress):
         started = now()
-        is_stream = course.route.kind == STREAM
-        silence = self._first_silence(course, started)
+        is_stream = context.route.kind == STREAM
+        silence = self._first_silence(context, started)
         try:
             upstream.send(
-                self._encode(course, state, started),
-                course.request.method,
-                lambda reply: self._answer_head(reply, course, state).is_ours,
+                self._encode(context, state, started),
+                context.request.method,
+                lambda reply: self._answer_head(reply, context, state).is_ours,
             )
             async with asyncio.timeout(silence):
                 reply = await upstream.head()
         except ResponseError as error:
-            return self._lost(course, state, started, "broken", error.message)
+            return self._lost(context, state, started, "broken", error.message)
         except TimeoutError:
-            return self._lost(course, state, started, "silent", "no answer")
-        head = self._answer_head(reply, course, state)
+            return self._lost(context, state, started, "silent", "no answer")
+        head = self._answer_head(reply, context, state)
         if head.has_not_run:
-            return self._rejected(course, state, head, started)
+            return self._rejected(context, state, head, started)
         if is_stream and head.is_success:
             return await self._follow(
-                course, state, upstream, connection, progress, head, started
+                context, state, upstream, connection, progress, head, started
             )
         return await self._whole(
-            course, state, upstream, connection, progress, head, started
+            context, state, upstream, connection, progress, head, started
         )
 
-    def _first_silence(self, course, at):
-        left = course.left(at)
-        if not course.route.is_idempotent:
+    def _first_silence(self, context, at):
+        left = context.left(at)
+        if not context.route.is_idempotent:
             return left
-        if course.route.kind == STREAM:
+        if context.route.kind == STREAM:
             return min(left, FIRST_EVENT_SILENCE)
         return min(left, max(ANSWER_SILENCE_LEAST, left * ANSWER_SILENCE_SHARE))
 
-    def _encode(self, course, state, at):
-        request = course.request
+    def _encode(self, context, state, at):
+        request = context.request
         headers = self._dialect.forwarded_headers(
             request.headers,
-            course.demand,
+            context.demand,
             state.back_end,
-            course.customer.name if course.customer else "",
-            course.priority,
-            course.left(at),
-            course.events.last_event,
+            context.customer.name if context.customer else "",
+            context.priority,
+            context.left(at),
+            context.events.last_event,
         )
         return encode_request(request.method, request.path, headers, request.body)
 
-    def _answer_head(self, reply, course, state):
-        return self._dialect.answer_head(reply, course.id, state.back_end)
+    def _answer_head(self, reply, context, state):
+        return self._dialect.answer_head(reply, context.id, state.back_end)
 
     async def _whole(
-        self, course, state, upstream, connection, progress, head, started
+        self, context, state, upstream, connection, progress, head, started
     ):
         """Read a whole answer, then pass it on."""
         try:
-            async with asyncio.timeout(course.left(now())):
+            async with asyncio.timeout(context.left(now())):
                 body = await upstream.read_all()
         except ResponseError as error:
-            return self._lost(course, state, started, "broken", error.message)
+            return self._lost(context, state, started, "broken", error.message)
         except TimeoutError:
-            return self._lost(course, state, started, "silent", "answer not complete")
+            return self._lost(context, state, started, "silent", "answer not complete")
         progress.is_whole = True
         if 200 <= head.status < 300 and not head.is_signed:
-            return self._lost(course, state, started, "broken", "no signature")
+            return self._lost(context, state, started, "broken", "no signature")
         if head.status >= 500:
-            if course.route.is_idempotent and course.head is None:
-                course.failure = (head, body)
-                return self._lost(course, state, started, "failed", str(head.status))
+            if context.route.is_idempotent and context.head is None:
+                context.failure = (head, body)
+                return self._lost(context, state, started, "failed", str(head.status))
         else:
             state.note_success(now(), now() - started)
-        if course.head is not None:
-            return self._lost(course, state, started, "broken", "not a stream")
+        if context.head is not None:
+            return self._lost(context, state, started, "broken", "not a stream")
         connection.answer(head.status, head.headers, body)
-        self._note_end(course, state, "answered", started, str(head.status))
+        self._note_end(context, state, "answered", started, str(head.status))
         return None
 
     async def _follow(
-        self, course, state, upstream, connection, progress, head, started
+        self, context, state, upstream, connection, progress, head, started
     ):
         """Pass on the events of a stream as they arrive."""
-        events = course.events
+        events = context.events
         events.restart()
-        silence = self._first_silence(course, now())
-        gap = GAP_SILENCE if course.route.can_resume else 1e9
+        silence = self._first_silence(context, now())
+        gap = GAP_SILENCE if context.route.can_resume else 1e9
         try:
             while True:
-                left = course.left(now())
+                left = context.left(now())
                 async with asyncio.timeout(min(left, silence)):
                     data = await upstream.read()
                 if not data:
                     break
                 whole = events.feed(data)
                 if events.is_too_long:
-                    return self._lost(course, state, started, "broken", "endless event")
+                    return self._lost(
+                        context, state, started, "broken", "endless event"
+                    )
                 if not whole:
                     continue
-                course.note_event(now())
+                context.note_event(now())
                 if not progress.has_first:
                     progress.has_first = True
-                    state.note_first_byte(course.demand)
+                    state.note_first_byte(context.demand)
                     state.note_success(now(), now() - started)
                     silence = gap
-                self._pass_on(course, connection, head, whole)
+                self._pass_on(context, connection, head, whole)
         except ResponseError as error:
-            return self._lost(course, state, started, "broken", error.message)
+            return self._lost(context, state, started, "broken", error.message)
         except TimeoutError:
-            return self._lost(course, state, started, "silent", "no further event")
+            return self._lost(context, state, started, "silent", "no further event")
         progress.is_whole = True
-        self._pass_on(course, connection, head, events.rest)
+        self._pass_on(context, connection, head, events.rest)
         connection.end()
-        self._note_end(course, state, "answered", started, "stream")
+        self._note_end(context, state, "answered", started, "stream")
         return None
 
     @staticmethod
-    def _pass_on(course, connection, head, data):
-        if course.head is None:
-            course.head = head
+    def _pass_on(context, connection, head, data):
+        if context.head is None:
+            context.head = head
             connection.write_head(head.status, head.headers)
         if data:
             connection.write(data)
 
-    def _lost(self, course, state, started, how, message):
+    def _lost(self, context, state, started, how, message):
         """Record an answer that did not come whole; return an `Unknown`."""
         state.note_failure(now())
-        self._note_end(course, state, how, started, message)
-        if len(set(course.visited)) < course.route.attempts:
-            course.excluded.add(state.name)
-        status = 504 if course.left(now()) <= 0.0 else 502
+        self._note_end(context, state, how, started, message)
+        if len(set(context.visited)) < context.route.attempts:
+            context.excluded.add(state.name)
+        status = 504 if context.left(now()) <= 0.0 else 502
         return Unknown(status, how, message)
 
-    def _rejected(self, course, state, head, started):
+    def _rejected(self, context, state, head, started):
         """Record that a back end says it did not run the request."""
-        self._note_end(course, state, "rejected", started, str(head.status))
+        self._note_end(context, state, "rejected", started, str(head.status))
         if head.is_other_back_end:
             state.note_failure(now(), OTHER_WEIGHT)
-            course.excluded.add(state.name)
+            context.excluded.add(state.name)
         elif head.status == MISDIRECTED:
-            state.adapters.pop(course.demand.held_name, None)
-            self._fleet.note_missing(state, course.demand.held_name)
+            state.adapters.pop(context.demand.held_name, None)
+            self._fleet.note_missing(state, context.demand.held_name)
         else:
             state.note_failure(now(), REJECTED_WEIGHT)
-            if len(set(course.visited)) < course.route.attempts:
-                course.excluded.add(state.name)
+            if len(set(context.visited)) < context.route.attempts:
+                context.excluded.add(state.name)
         return NotRun(503, "rejected", "the back end is full", REJECTED_RETRY, True)
 
-    def _note_end(self, course, state, event, started, message):
+    def _note_end(self, context, state, event, started, message):
         seconds = now() - started
-        self._metrics.observe(event, course.route.kind, seconds)
+        self._metrics.observe(event, context.route.kind, seconds)
         self._log.write(
             "send",
             event,
-            request=course.id,
+            request=context.id,
             back_end=state.name,
-            sends=course.sends,
-            events=course.events.count,
+            sends=context.sends,
+            events=context.events.count,
             seconds=round(seconds, 4),
-            first=round((course.first_at or now()) - course.request.arrived, 4),
-            gap=round(course.worst_gap, 4),
+            first=round((context.first_at or now()) - context.request.arrived, 4),
+            gap=round(context.worst_gap, 4),
             detail=message,
         )
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -112,7 +112,7 @@
     async def scenario(fleet):
         copies = fleet.daemons[0].copies
         asked = []
-        copies.ask_for_news = lambda identity, mirror: asked.append(mirror.kind)
+        copies.ask_for_snapshot = lambda identity, mirror: asked.append(mirror.kind)
         for tick in range(20):
             copies.note_revisions("ahead", {"config": 10**9}, tick * 0.1)
             copies.note_revisions("behind", {"config": 1}, tick * 0.1)
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -143,7 +143,7 @@
         is_away = store.is_down or node.name in store.refused
         if not is_away:
             node.mirror.replace(list(store.objects.values()), store.revision)
-            if node.holdings.wants("engine", now, now):
+            if node.holdings.should_take("engine", now, now):
                 try:
                     await node.holdings.take("engine")
                 except StoreUnavailableError:
@@ -187,7 +187,7 @@
             for node in nodes.values():
                 if tick >= 50 and node.name == first:
                     continue
-                if node.holdings.wants("engine", now, now):
+                if node.holdings.should_take("engine", now, now):
                     await node.holdings.take("engine")
                     first = first or node.name
                 await node.holdings.confirm(now)
