--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,87 @@
+"""
+tests.test_fleet
+~~~~~~~~~~~~~~~~
+
+Asking the holder of an engine's orders, who may be silent.
+"""
+
+import asyncio
+import time
+
+import pytest
+
+from rosemarypath.edgesettings import EdgeSettings
+from rosemarypath.fleet import FleetView
+from rosemarypath.holding import Holder
+from rosemarypath.machine import Machine
+from rosemarypath.messages import LoadReply
+from rosemarypath.peers import Peers
+from tests.test_choice import engine
+
+
+def machine(name):
+    return Machine(
+        name=name, incarnation="1", zone="z", callers_address="a", peers_address="p"
+    )
+
+
+class Holdings:
+    """Names one machine as the holder of everything."""
+
+    lease = 3.0
+
+    def holder(self, name):
+        return Holder("holder", 7)
+
+
+class Mesh:
+    """Answers asks with given replies, then never; counts them."""
+
+    def __init__(self, replies):
+        self.replies = list(replies)
+        self.asked = 0
+
+    async def ask(self, identity, message, timeout):
+        self.asked += 1
+        if self.replies:
+            return self.replies.pop(0)
+        await asyncio.sleep(timeout)
+        return None
+
+
+@pytest.fixture
+def view():
+    """Return a function that makes a `FleetView` whose holder was just heard."""
+
+    def make(mesh):
+        now = time.monotonic()
+        peers = Peers(machine("own"), now, now)
+        peers.set_machines([machine("holder")], now, now)
+        peers.by_name["holder"].heard_at = now
+        settings = EdgeSettings("own", "z", "r", "a", "b", "c", "d", "e")
+        return FleetView(settings, peers, mesh, Holdings(), None)
+
+    return make
+
+
+def test_a_silent_holder_is_given_up_soon(view):
+    mesh = Mesh([])
+    started = time.monotonic()
+    outcome = asyncio.run(view(mesh).ensure(engine("e"), "m", "a", 8.0))
+    assert (outcome.is_held, outcome.reason) == (False, "holder_silent")
+    assert time.monotonic() - started < 1.2
+
+
+def test_a_holder_that_is_busy_is_asked_again_and_its_answer_taken(view):
+    mesh = Mesh([LoadReply(False, "load_timeout"), LoadReply(True)])
+    state = engine("e")
+    outcome = asyncio.run(view(mesh).ensure(state, "m", "a", 8.0))
+    assert outcome.is_held
+    assert mesh.asked == 2
+    assert state.adapters["m/a"] == 1
+
+
+def test_a_refusal_of_the_holder_is_final(view):
+    mesh = Mesh([LoadReply(False, "no_place")])
+    outcome = asyncio.run(view(mesh).ensure(engine("e"), "m", "a", 8.0))
+    assert (outcome.is_held, outcome.reason, mesh.asked) == (False, "no_place", 1)
