Let groups of daemons exchange states through their leads

Ruled out: longer intervals for larger fleets (loads and silence would be seen seconds late at 450 machines, and messages still grow with the product); a few hubs for all (each digest would hold every machine, sent to every machine).

Change: machines of one zone form groups of about eight (the root of the fleet, if larger). All of a group hear each other as before; a lead adds up its group for the other leads, and passes their sums on. Holders of orders ask a daemon that watches the store how current it is, or while the store is away have all daemons acknowledge.

Conclusion: the messages of a daemon grow with the root of the fleet.

--- a/rosemarypath/copies.py
+++ b/rosemarypath/copies.py
@@ -12,8 +12,14 @@
 from dataclasses import dataclass
 
 from rosemarypath.backends import UNSTABLE_SECONDS
-from rosemarypath.clock import now
-from rosemarypath.messages import MirrorAsk, MirrorEvents, MirrorSnapshot
+from rosemarypath.clock import lease_now, now
+from rosemarypath.messages import (
+    FreshnessAsk,
+    FreshnessReply,
+    MirrorAsk,
+    MirrorEvents,
+    MirrorSnapshot,
+)
 from rosemarypath.mirror import (
     PROBE_SECONDS,
     WATCH_SECONDS,
@@ -51,14 +57,18 @@
         The `DecisionLog`.
     `probe_kind`
         The kind whose watch waits so shortly that it shows a silent store.
+    `fresh_kind`
+        The kind of which, in a large fleet, daemons ask the watching ones how current
+        it is; its watch waits as shortly there.
     """
 
-    def __init__(self, store, peers, mesh, log, probe_kind):
+    def __init__(self, store, peers, mesh, log, probe_kind, fresh_kind):
         self._store = store
         self._peers = peers
         self._mesh = mesh
         self._log = log
         self._probe_kind = probe_kind
+        self._fresh_kind = fresh_kind
         self._role = WatchRole()
         self._watchers = []
         self._behind = {}
@@ -95,18 +105,31 @@
         self._mesh.on(MirrorAsk, self._on_ask)
         self._mesh.on(MirrorSnapshot, self._on_snapshot)
         self._mesh.on(MirrorEvents, self._on_events)
+        self._mesh.on(FreshnessAsk, self._on_freshness_ask)
         for mirror in self._mirrors.values():
-            is_probe = mirror.kind == self._probe_kind
             watcher = Watcher(
                 self._store,
                 mirror,
                 self.health,
                 self._role,
                 self._pass_events,
-                seconds=PROBE_SECONDS if is_probe else WATCH_SECONDS,
+                seconds_of=self._watch_seconds,
             )
             spawn(watcher.run())
 
+    @property
+    def watchers(self):
+        """Return the names of the machines that watch the store for all."""
+        return self._watchers
+
+    def _watch_seconds(self, kind):
+        """Return how long one watch of `kind` waits."""
+        if kind == self._probe_kind:
+            return PROBE_SECONDS
+        if kind == self._fresh_kind and self._peers.is_grouped:
+            return PROBE_SECONDS
+        return WATCH_SECONDS
+
     def choose_watchers(self, now):
         """Watch the store if this daemon is among those that do so for all."""
         watchers = self._peers.watchers(self.health.is_up, now)
@@ -171,6 +194,12 @@
         objects = [(o.name, o.version, o.spec) for o in mirror.objects.values()]
         self._mesh.send(identity, MirrorSnapshot(ask.kind, mirror.revision, objects))
 
+    def _on_freshness_ask(self, identity, ask):
+        mirror = self._mirrors.get(ask.kind)
+        if mirror is None or not mirror.is_known:
+            return None
+        return FreshnessReply(mirror.changed, lease_now() - mirror.read_at)
+
     def _on_snapshot(self, identity, message):
         mirror = self._mirrors.get(message.kind)
         if mirror is None or mirror.is_current(message.revision):
--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -8,22 +8,21 @@
 import asyncio
 import signal
 
-import msgspec
-
 from rosemarypath.admission import Admission
 from rosemarypath.clock import lease_now, now
+from rosemarypath.confirming import Confirmations
 from rosemarypath.copies import StoreCopies
 from rosemarypath.decisionlog import FLUSH_SECONDS, DecisionLog
 from rosemarypath.edgemetrics import EdgeMetrics
 from rosemarypath.errors import SettingsError
 from rosemarypath.fleet import FleetView
 from rosemarypath.forwarding import Forwarder
+from rosemarypath.heartbeats import Heartbeats
 from rosemarypath.holding import HOLDER_KIND, Holdings
 from rosemarypath.httpclient import ConnectionPool
 from rosemarypath.link import Mesh
 from rosemarypath.listener import Listener
 from rosemarypath.machine import Machine, new_incarnation
-from rosemarypath.messages import PeerState
 from rosemarypath.ordering import Ordering
 from rosemarypath.peers import Peers
 from rosemarypath.platformstate import PlatformState
@@ -75,11 +74,19 @@
         self._peers = Peers(own, now(), lease_now())
         self._mesh = Mesh(own.identity, settings.peers_address)
         self._copies = StoreCopies(
-            self._store, self._peers, self._mesh, self._log, dialect.server_kind
+            self._store,
+            self._peers,
+            self._mesh,
+            self._log,
+            probe_kind=dialect.server_kind,
+            fresh_kind=HOLDER_KIND,
         )
         self._fleet = FleetView(
             settings, self._peers, self._mesh, self._new_holdings(), self._log
         )
+        self._heartbeats = Heartbeats(
+            self._peers, self._mesh, self._fleet, self._copies
+        )
         self._registration = Registration(
             own, self._store, self._copies, self._peers, self._mesh, self._log
         )
@@ -146,7 +153,7 @@
         for listener in [self._callers, *self._others]:
             await listener.start()
         await self._mesh.start()
-        self._mesh.on(PeerState, self._on_peer_state)
+        self._heartbeats.start()
         self._copies.start(self._spawn)
         self._spawn(self._registration.run())
         self._spawn(self._beat())
@@ -211,6 +218,7 @@
             self._store,
             mirror,
             self._settings.lease,
+            Confirmations(self._peers, self._mesh, self._copies),
         )
 
     def _new_listeners(self):
@@ -260,28 +268,7 @@
             await asyncio.sleep(FLUSH_SECONDS)
 
     def _send_states(self):
-        state = PeerState(
-            number=self._peers.next_number(lease_now()),
-            heard=0,
-            is_leaving=self._stopping.is_set(),
-            is_ready=self.is_ready,
-            has_store=self._copies.health.is_up,
-            revisions=self._copies.revisions,
-            spent=self._fleet.budgets.spent,
-            loads=self._fleet.own_loads(),
-            held=self._fleet.own_held(),
-        )
-        for peer in self._peers.by_name.values():
-            message = msgspec.structs.replace(state, heard=peer.number)
-            self._mesh.send(peer.machine.identity, message, expect_answer=True)
-
-    def _on_peer_state(self, identity, state):
-        at = now()
-        if self._peers.note_state(identity, state, at, lease_now()) is None:
-            return
-        self._mesh.note_answer(identity)
-        self._fleet.note_peer_state(identity, state, at)
-        self._copies.note_revisions(identity, state.revisions, at)
+        self._heartbeats.beat(self._stopping.is_set(), self.is_ready)
 
     async def _handle_own(self, request, connection):
         """Answer the platform's question for readiness and callers' for addresses."""
--- a/rosemarypath/holding.py
+++ b/rosemarypath/holding.py
@@ -56,13 +56,16 @@
         The `Mirror` of the holders' kind.
     `lease`
         Seconds that a former holder must have been silent.
+    `confirmations`
+        What asks other daemons, in a fleet where not all hear each other.
     """
 
-    def __init__(self, machine, peers, store, mirror, lease):
+    def __init__(self, machine, peers, store, mirror, lease, confirmations=None):
         self._machine = machine
         self._peers = peers
         self._store = store
         self._mirror = mirror
+        self._confirmations = confirmations
         self.lease = lease
         self._usable_from = {}
         self._confirmed_at = float("-inf")
@@ -99,17 +102,29 @@
         return holder.fence
 
     async def confirm(self, lease_now):
-        """Read the store if nothing else proves the holdings; log-free and cheap."""
+        """Ask other daemons, then the store, if nothing else proves the holdings."""
         if self._is_confirmed(lease_now):
             return True
+        if self._peers.is_grouped and self._confirmations is not None:
+            revision, read_at = await self._confirmations.ask_watchers(HOLDER_KIND)
+            if revision <= self._mirror.newest:
+                self._confirmed_at = max(self._confirmed_at, read_at)
+            if self._is_confirmed(lease_now):
+                return True
         try:
             objects, revision = await self._store.list(HOLDER_KIND)
         except StoreUnavailableError:
-            return False
+            return await self._confirm_by_peers()
         self._mirror.replace(objects, revision)
         self._confirmed_at = lease_now
         return True
 
+    async def _confirm_by_peers(self):
+        """Have every daemon acknowledge, which a small fleet does all the time."""
+        if not self._peers.is_grouped or self._confirmations is None:
+            return False
+        return await self._confirmations.ask_all(self._is_confirmed)
+
     def should_take(self, engine, now, lease_now):
         """Return whether this daemon should write itself down as the holder."""
         if not self._mirror.is_known:
@@ -162,6 +177,7 @@
         self._mirror.note_own(stored)
 
     def _is_confirmed(self, lease_now):
-        if lease_now - self._confirmed_at < CONFIRMED_SECONDS:
+        read_at = max(self._confirmed_at, self._mirror.read_at)
+        if lease_now - read_at < CONFIRMED_SECONDS:
             return True
         return self._peers.all_acknowledged(HOLDER_KIND, self._mirror.newest, lease_now)
--- a/rosemarypath/messages.py
+++ b/rosemarypath/messages.py
@@ -20,13 +20,20 @@
     "ConfigurationAsk",
     "ConfigurationDelta",
     "Frame",
+    "FreshnessAsk",
+    "FreshnessReply",
     "GrantAsk",
     "GrantReply",
+    "GroupDigest",
+    "GroupNews",
     "HeartbeatAck",
     "Heartbeat",
     "HeldSeat",
+    "LeaseAck",
+    "LeasePing",
     "LoadAsk",
     "LoadReply",
+    "MemberState",
     "MirrorAsk",
     "MirrorEvents",
     "MirrorSnapshot",
@@ -303,6 +310,76 @@
     held: dict[str, list[tuple[str, int, dict[str, int]]]]
 
 
+class MemberState(msgspec.Struct, frozen=True, array_like=True):
+    """
+    What a group's lead last heard of one daemon.
+
+    `identity` is ``name/incarnation``; the rest is that of its `PeerState`.
+    """
+
+    identity: str
+    number: int
+    is_leaving: bool
+    is_ready: bool
+    has_store: bool
+
+
+class GroupDigest(Message):
+    """
+    The sum of the newest heartbeats of one group of daemons.
+
+    `lead` is the ``name/incarnation`` of the daemon that made it, `number` that of its
+    own heartbeat. `revisions` are the highest of the group, `spent` is what the group
+    granted since the lead's start; `loads` and `held` are as in `PeerState`.
+    """
+
+    lead: str
+    number: int
+    members: list[MemberState]
+    revisions: dict[str, int]
+    spent: dict[str, int]
+    loads: dict[str, tuple[int, int, dict[str, int]]]
+    held: dict[str, list[tuple[str, int, dict[str, int]]]]
+
+
+class GroupNews(Message):
+    """Digests of groups, from their leads or passed on by the receiver's lead."""
+
+    digests: list[GroupDigest]
+
+
+class LeasePing(Message):
+    """Asks one daemon to acknowledge the sender's heartbeat `number` at once."""
+
+    number: int
+
+
+class LeaseAck(Message):
+    """
+    The sender heard `number`, and last saw a change of the kind at `revision`.
+
+    It takes nothing over from the receiver until it was silent for long enough.
+    """
+
+    number: int
+    revision: int
+
+
+class FreshnessAsk(Message):
+    """Asks a daemon that watches the store how current its copy of `kind` is."""
+
+    kind: str
+
+
+class FreshnessReply(Message):
+    """
+    The copy last changed at `revision`; the store had nothing newer `age` seconds ago.
+    """
+
+    revision: int
+    age: float
+
+
 class MirrorAsk(Message):
     """Asks for a copy of one kind of the store that is newer than `revision`."""
 
@@ -385,6 +462,11 @@
     | MirrorEvents
     | LoadAsk
     | LoadReply
+    | GroupNews
+    | LeasePing
+    | LeaseAck
+    | FreshnessAsk
+    | FreshnessReply
 )
 
 
--- a/rosemarypath/mirror.py
+++ b/rosemarypath/mirror.py
@@ -8,6 +8,7 @@
 import asyncio
 import time
 
+from rosemarypath.clock import lease_now
 from rosemarypath.errors import (
     NotFoundError,
     StoreUnavailableError,
@@ -36,6 +37,8 @@
 
     `on_change` is called with the sets of changed and of removed names. `revision` is
     the store's revision up to which it is known, `changed` that of its last change.
+    `read_at` is the lease clock at the sending of the last own call to the store that
+    was answered: no newer change was missed then.
     """
 
     def __init__(self, kind, on_change):
@@ -44,6 +47,7 @@
         self.kind = kind
         self.revision = 0
         self.changed = 0
+        self.read_at = float("-inf")
         self.objects = {}
         self.is_known = False
 
@@ -168,8 +172,8 @@
     """
     Keeps a `Mirror` by listing its kind and, in the role, watching it.
 
-    ``on_events(mirror, since, events)`` is called for what a watch brought, `seconds`
-    is how long one watch waits.
+    ``on_events(mirror, since, events)`` is called for what a watch brought,
+    ``seconds_of(kind)`` tells how long one watch waits.
     """
 
     def __init__(
@@ -180,9 +184,9 @@
         role,
         on_events,
         gather=GATHER_SECONDS,
-        seconds=WATCH_SECONDS,
+        seconds_of=lambda kind: WATCH_SECONDS,
     ):
-        self._seconds = seconds
+        self._seconds_of = seconds_of
         self._store = store
         self._mirror = mirror
         self._health = health
@@ -210,19 +214,22 @@
 
     async def _step(self):
         mirror = self._mirror
+        asked_at = lease_now()
         if self._needs_list:
             objects, revision = await self._store.list(mirror.kind)
             self._health.note_answer(time.monotonic())
             mirror.replace(objects, revision)
+            mirror.read_at = asked_at
             self._needs_list = False
             return
         since = mirror.changed
         events, revision = await self._store.watch(
-            mirror.kind, mirror.revision, self._seconds
+            mirror.kind, mirror.revision, self._seconds_of(mirror.kind)
         )
         self._health.note_answer(time.monotonic())
         if revision > mirror.revision:
             mirror.apply(events, revision)
+        mirror.read_at = asked_at
         if events:
             self._on_events(mirror, since, events)
             await asyncio.sleep(self._gather)
--- a/rosemarypath/peers.py
+++ b/rosemarypath/peers.py
@@ -7,15 +7,18 @@
 
 from dataclasses import dataclass, field
 
-from rosemarypath.hashing import score, spread_order
+from rosemarypath.groups import group_machines
+from rosemarypath.hashing import rendezvous_order, score, spread_order
 from rosemarypath.machine import Machine
 
 __all__ = ["Peer", "Peers"]
 
 SILENT_SECONDS = 1.2  # six heartbeats; a silent daemon is not named to callers
 WATCHER_SILENT_SECONDS = 0.7  # three heartbeats; then another one watches
+RELAYED_SECONDS = 1.3  # on top for news by way of two leads, of which one may fail
 WATCHERS = 3  # machines that watch the store; two may fail at once
 WATCH_RESOURCE = "watch"
+LEAD_RESOURCE = "lead"
 FIRST_HEARTBEAT_SECONDS = 1.5  # all have sent one by then after a common restart
 ACKNOWLEDGED_SECONDS = 2.0  # how long an acknowledged heartbeat counts, from sending
 TAKEOVER_SECONDS = 2.6  # longer than that, so that no two daemons hold orders
@@ -28,6 +31,7 @@
 
     `heard_at` is by the clock for timeouts; `acknowledged_at` (when the newest
     heartbeat that it acknowledged was sent) and `lease_heard_at` by that for leases.
+    `is_direct` tells that it is of the own group and speaks for itself.
     """
 
     machine: Machine
@@ -37,12 +41,19 @@
     lease_heard_at: float = float("-inf")
     acknowledged_at: float = float("-inf")
     number: int = 0
+    is_direct: bool = True
     is_leaving: bool = False
     is_ready: bool = False
     has_store: bool = True
     spent: dict = field(default_factory=dict)
     revisions: dict = field(default_factory=dict)
 
+    def spoke_within(self, seconds, now):
+        """Return whether it spoke lately, with more patience for relayed news."""
+        if not self.is_direct:
+            seconds += RELAYED_SECONDS
+        return now - self.heard_at < seconds
+
 
 class Peers:
     """
@@ -60,6 +71,17 @@
         self.by_name = {}
         self.registered = frozenset()
         self.is_known = False
+        self.other_groups = []
+
+    @property
+    def is_grouped(self):
+        """Return whether the fleet is so large that not all hear each other."""
+        return bool(self.other_groups)
+
+    @property
+    def direct(self):
+        """Return the peers of the own group."""
+        return [peer for peer in self.by_name.values() if peer.is_direct]
 
     def set_machines(self, machines, now, lease_now):
         """Take over the registered `Machine` records; return the new or changed."""
@@ -74,8 +96,35 @@
             del self.by_name[name]
         self.registered = frozenset(fresh)
         self.is_known = True
+        self._regroup()
         return changed
 
+    def _regroup(self):
+        """Work out who speaks to whom."""
+        machines = [self.own, *(peer.machine for peer in self.by_name.values())]
+        groups = group_machines(machines)
+        self.other_groups = [group for group in groups if self.own not in group]
+        far = {machine.name for group in self.other_groups for machine in group}
+        for name, peer in self.by_name.items():
+            peer.is_direct = name not in far
+
+    def lead(self, is_own_leaving, now):
+        """
+        Return the name of the machine that speaks for the own group.
+
+        It is empty just after this daemon's start, when it may not have heard others.
+        """
+        if now - self.started_at < WATCHER_SILENT_SECONDS:
+            return ""
+        able = [] if is_own_leaving else [self.own.name]
+        able += [
+            peer.machine.name
+            for peer in self.direct
+            if not peer.is_leaving and peer.spoke_within(WATCHER_SILENT_SECONDS, now)
+        ]
+        ordered = rendezvous_order(LEAD_RESOURCE, able)
+        return ordered[0] if ordered else self.own.name
+
     def next_number(self, lease_now):
         """Return the number of the next heartbeat, which is sent at `lease_now`."""
         self.number += 1
@@ -86,24 +135,60 @@
 
     def note_state(self, identity, state, now, lease_now):
         """Take over a heartbeat; return the `Peer`, or ``None`` for unknown ones."""
+        peer = self.known(identity)
+        if peer is None or state.number <= peer.number:
+            return None
+        self._note_member(peer, state, now, lease_now)
+        peer.spent = state.spent
+        peer.revisions = state.revisions
+        self._note_acknowledged(peer, state.heard)
+        return peer
+
+    def known(self, identity):
+        """Return the `Peer` that is ``name/incarnation``, or ``None``."""
         name, _, incarnation = identity.partition("/")
         peer = self.by_name.get(name)
         if peer is None or peer.machine.incarnation != incarnation:
             return None
-        if state.number <= peer.number:
-            return None
+        return peer
+
+    def note_digest(self, digest, now, lease_now):
+        """Take over what the lead of another group says of its members."""
+        for member in digest.members:
+            peer = self.known(member.identity)
+            if peer is None or peer.is_direct or member.number <= peer.number:
+                continue
+            self._note_member(peer, member, now, lease_now)
+            peer.revisions = digest.revisions
+
+    def note_ping(self, identity, now, lease_now):
+        """Record that a peer asked for an acknowledgement; return it if known."""
+        peer = self.known(identity)
+        if peer is not None:
+            peer.heard_at = now
+            peer.lease_heard_at = lease_now
+        return peer
+
+    def note_acknowledgement(self, identity, kind, ack):
+        """Record a `LeaseAck`, with the revision of `kind` that the peer knows."""
+        peer = self.known(identity)
+        if peer is None:
+            return
+        self._note_acknowledged(peer, ack.number)
+        newest = max(ack.revision, peer.revisions.get(kind, 0))
+        peer.revisions = {**peer.revisions, kind: newest}
+
+    def _note_member(self, peer, state, now, lease_now):
         peer.number = state.number
         peer.heard_at = now
         peer.lease_heard_at = lease_now
         peer.is_leaving = state.is_leaving
         peer.is_ready = state.is_ready
         peer.has_store = state.has_store
-        peer.spent = state.spent
-        peer.revisions = state.revisions
-        peer.acknowledged_at = max(
-            peer.acknowledged_at, self._sent.get(state.heard, float("-inf"))
-        )
-        return peer
+
+    def _note_acknowledged(self, peer, number):
+        sent_at = self._sent.get(number, float("-inf"))
+        peer.acknowledged_at = max(peer.acknowledged_at, sent_at)
 
     def is_heard(self, name, now):
         """
@@ -117,12 +202,12 @@
             return False
         if now - self.started_at < FIRST_HEARTBEAT_SECONDS:
             return True
-        return now - peer.heard_at < SILENT_SECONDS
+        return peer.spoke_within(SILENT_SECONDS, now)
 
     def heard(self, now):
         """Return the names of the machines that spoke lately, with this one."""
         names = [
-            n for n, p in self.by_name.items() if now - p.heard_at < SILENT_SECONDS
+            n for n, p in self.by_name.items() if p.spoke_within(SILENT_SECONDS, now)
         ]
         return [self.own.name, *names]
 
@@ -175,7 +260,7 @@
             for peer in self.by_name.values()
             if peer.has_store
             and not peer.is_leaving
-            and now - peer.heard_at < WATCHER_SILENT_SECONDS
+            and peer.spoke_within(WATCHER_SILENT_SECONDS, now)
         ]
         ordered = spread_order(WATCH_RESOURCE, able, lambda m: m.name, lambda m: m.zone)
         return [machine.name for machine in ordered[:WATCHERS]]
@@ -198,7 +283,7 @@
             for peer in self.by_name.values()
             if peer.is_ready
             and not peer.is_leaving
-            and now - peer.heard_at < SILENT_SECONDS
+            and peer.spoke_within(SILENT_SECONDS, now)
         ]
         if ready:
             return ready
--- a/rosemarypath/registration.py
+++ b/rosemarypath/registration.py
@@ -66,8 +66,10 @@
             return
         for name, peer in list(self._peers.by_name.items()):
             silent = at - max(peer.heard_at, peer.known_at)
-            is_first = rendezvous_order(name, self._peers.heard(at))[0]
-            if silent < FORGET_SECONDS or is_first != self._own.name:
+            if silent < FORGET_SECONDS:
+                continue
+            first = rendezvous_order(name, self._peers.heard(at))[0]
+            if first != self._own.name:
                 continue
             stored = self._mirror.objects.get(name)
             if stored is None:
--- /dev/null
+++ b/tests/simulatedfleet.py
@@ -0,0 +1,159 @@
+"""
+tests.simulatedfleet
+~~~~~~~~~~~~~~~~~~~~
+
+Many daemons that exchange states in simulated time, over links that can be cut.
+"""
+
+from collections import Counter
+from types import SimpleNamespace
+
+from rosemarypath import heartbeats
+from rosemarypath.backends import PEER_LOAD_SECONDS
+from rosemarypath.heartbeats import Heartbeats
+from rosemarypath.machine import Machine
+from rosemarypath.peers import Peers
+
+__all__ = ["BEAT", "Daemon", "FakeMesh", "Network", "Play"]
+
+BEAT = 0.2
+
+
+class Network:
+    """
+    Delivers messages at once, except to and from machines that are off.
+
+    What is sent to a frozen machine is delivered when it runs again.
+    """
+
+    def __init__(self):
+        self.meshes = {}
+        self.off = set()
+        self.frozen = set()
+        self._kept = {}
+        self.sent = Counter()
+
+    def deliver(self, sender, receiver, message):
+        self.sent[sender] += 1
+        if {sender, receiver} & self.off or receiver not in self.meshes:
+            return None
+        if receiver in self.frozen:
+            self._kept.setdefault(receiver, []).append((sender, message))
+            return None
+        return self.meshes[receiver].handlers[type(message)](sender, message)
+
+    def thaw(self, identity):
+        """Let a frozen machine run, and read first what was sent to it."""
+        self.frozen.discard(identity)
+        for sender, message in self._kept.pop(identity, []):
+            self.meshes[identity].handlers[type(message)](sender, message)
+
+
+class FakeMesh:
+    """The links of one daemon on a `Network`."""
+
+    def __init__(self, network, identity):
+        self._network = network
+        self.identity = identity
+        self.handlers = {}
+        network.meshes[identity] = self
+
+    def on(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+    def send(self, identity, message, expect_answer=False):
+        self._network.deliver(self.identity, identity, message)
+
+    async def ask(self, identity, message, timeout):
+        return self._network.deliver(self.identity, identity, message)
+
+    def note_answer(self, identity):
+        """Take the place of `Mesh.note_answer`."""
+
+
+class FakeFleet:
+    """Loads and grants of one daemon, and what it hears of those of the others."""
+
+    def __init__(self, number, clock):
+        self._clock = clock
+        self.budgets = SimpleNamespace(spent={"kiln": 0})
+        self.running = 1 + number % 3
+        self.held = {}
+        self.heard = {}
+        self.heard_held = {}
+
+    def own_loads(self):
+        return {"engine": (self.running, 10 * self.running, {"m/a": self.running})}
+
+    def own_held(self):
+        return self.held
+
+    def note_peer_state(self, identity, state, now):
+        self.heard[identity] = (now, state)
+        self.heard_held.update(state.held)
+
+    def fresh(self):
+        """Return the states that are as new as a load must be to count."""
+        now = self._clock()
+        return [s for at, s in self.heard.values() if now - at < PEER_LOAD_SECONDS]
+
+    def total_running(self):
+        return sum(state.loads["engine"][0] for state in self.fresh())
+
+
+class Daemon:
+    """One daemon's heartbeats on the network."""
+
+    def __init__(self, network, machine, number, clock):
+        self.machine = machine
+        self.peers = Peers(machine, 0.0, 0.0)
+        self.fleet = FakeFleet(number, clock)
+        self.copies = SimpleNamespace(
+            health=SimpleNamespace(is_up=True),
+            revisions={"rosemarypath-holders": 5},
+            note_revisions=lambda identity, revisions, now: None,
+        )
+        self.mesh = FakeMesh(network, machine.identity)
+        self.heartbeats = Heartbeats(self.peers, self.mesh, self.fleet, self.copies)
+        self.heartbeats.start()
+
+
+class Play:
+    """A fleet over four zones; `total` daemons that know each other from the start."""
+
+    def __init__(self, total, monkeypatch):
+        self.now = 0.0
+        monkeypatch.setattr(heartbeats, "now", lambda: self.now)
+        monkeypatch.setattr(heartbeats, "lease_now", lambda: self.now)
+        self.network = Network()
+        machines = [
+            Machine(
+                name=f"m{number:03}",
+                incarnation="1",
+                zone=f"z{number % 4}",
+                callers_address="a",
+                peers_address="p",
+            )
+            for number in range(total)
+        ]
+        self.daemons = [
+            Daemon(self.network, machine, number, lambda: self.now)
+            for number, machine in enumerate(machines)
+        ]
+        for daemon in self.daemons:
+            daemon.peers.set_machines(machines, 0.0, 0.0)
+
+    def running(self):
+        """Return the daemons that are neither off nor frozen."""
+        off = self.network.off | self.network.frozen
+        return [d for d in self.daemons if d.machine.identity not in off]
+
+    def beat(self, seconds):
+        """Let all daemons beat for `seconds`; call this between beats for checks."""
+        for _ in range(round(seconds / BEAT)):
+            self.now += BEAT
+            for daemon in self.running():
+                daemon.heartbeats.beat(False, True)
+
+    def turn_off(self, daemon):
+        self.network.off.add(daemon.machine.identity)
--- /dev/null
+++ b/tests/test_groups.py
@@ -0,0 +1,103 @@
+"""
+tests.test_groups
+~~~~~~~~~~~~~~~~~
+
+How machines are cut into groups, and what a group's digest adds up.
+"""
+
+from hypothesis import given, strategies as st
+
+from rosemarypath.groups import (
+    GROUP_MOST,
+    GROUP_SIZE,
+    GroupTotals,
+    group_machines,
+    make_digest,
+)
+from rosemarypath.machine import Machine
+from rosemarypath.messages import MemberState, PeerState
+
+
+def machine(name, zone):
+    return Machine(
+        name=name, incarnation="1", zone=zone, callers_address="a", peers_address="p"
+    )
+
+
+def machines(counts):
+    """Return `counts` of machines, one count a zone."""
+    return [
+        machine(f"m{zone}-{number}", f"z{zone}")
+        for zone, count in enumerate(counts)
+        for number in range(count)
+    ]
+
+
+def state(number=1, spent=None, loads=None, held=None, revisions=None):
+    return PeerState(
+        number,
+        0,
+        False,
+        True,
+        True,
+        revisions or {},
+        spent or {},
+        loads or {},
+        held or {},
+    )
+
+
+def test_a_small_fleet_is_one_group_over_its_zones():
+    fleet = machines([3, 3, 3])
+    assert [set(group) for group in group_machines(fleet)] == [set(fleet)]
+
+
+@given(st.lists(st.integers(1, 160), min_size=1, max_size=6))
+def test_each_machine_is_in_one_group_of_its_zone(counts):
+    fleet = machines(counts)
+    groups = group_machines(fleet)
+    assert sorted(m.name for g in groups for m in g) == sorted(m.name for m in fleet)
+    if len(fleet) > GROUP_MOST:
+        assert all(len({m.zone for m in group}) == 1 for group in groups)
+
+
+def test_what_a_daemon_hears_grows_with_the_root_of_the_fleet():
+    for total in (60, 300, 450, 1000):
+        groups = group_machines(machines([total // 5] * 5))
+        largest = max(len(group) for group in groups)
+        assert largest <= max(GROUP_SIZE, total**0.5)
+        assert len(groups) <= total / largest * 1.5 + 5
+
+
+def test_daemons_agree_whatever_order_they_learned_the_machines_in():
+    fleet = machines([9, 14, 3])
+    assert group_machines(fleet) == group_machines(list(reversed(fleet)))
+
+
+def test_totals_neither_fall_at_a_restart_nor_jump_at_a_late_join():
+    totals = GroupTotals()
+    totals.note("a/1", {"kiln": 500})
+    assert totals.with_own({}) == {}
+    totals.note("a/1", {"kiln": 700})
+    totals.note("a/2", {"kiln": 40})
+    totals.note("a/2", {"kiln": 50})
+    assert totals.with_own({"kiln": 5, "shed": 1}) == {"kiln": 255, "shed": 1}
+
+
+def test_totals_follow_tokens_that_are_given_back():
+    totals = GroupTotals()
+    totals.note("a/1", {"kiln": 500})
+    totals.note("a/1", {"kiln": 450})
+    assert totals.with_own({"kiln": 80}) == {"kiln": 30}
+
+
+def test_a_digest_adds_loads_and_keeps_the_newest_revision():
+    first = state(loads={"e": (2, 100, {"m/a": 2})}, revisions={"servers": 7})
+    second = state(loads={"e": (1, 30, {"m/a": 1, "m/b": 1}), "f": (1, 0, {})})
+    own = state(held={"e": [("m", 1, {"a": 1})]}, revisions={"servers": 6})
+    members = [MemberState("l/1", 1, False, True, True)]
+    digest = make_digest("l/1", 1, members, [first, second], own, {"kiln": 9})
+    assert digest.loads == {"e": (3, 130, {"m/a": 3, "m/b": 1}), "f": (1, 0, {})}
+    assert digest.revisions == {"servers": 7}
+    assert digest.held == {"e": [("m", 1, {"a": 1})]}
+    assert digest.spent == {"kiln": 9}
