Draw the burn report from the daemons' metrics; one line for each refusal

Cause: on the platform there are no operators' addresses, so `rosemarypath report` had nothing to read; a refusal over the budget wrote two lines, the second without the request's id.

Change: each request counts for its objectives (`rosemarypath_level_events_total`, labels objective, customer, cause). A refusal is one line with the id, the cost and the seconds to wait.

Ruled out: histograms of the first byte for the report (their bounds are not those of the routes' objectives).

Conclusion: the report works where only metrics are reachable.

--- a/rosemarypath/admission.py
+++ b/rosemarypath/admission.py
@@ -97,16 +97,8 @@
         wait = self._fleet.take_budget(customer, cost, now())
         if wait <= 0.0:
             return None
-        self._log.write(
-            "entry",
-            "refused",
-            request=demand.request,
-            why="over_budget",
-            customer=customer.name,
-            cost=cost,
-            wait=round(wait, 3),
-        )
-        return NotRun(429, "over_budget", "over the rate", wait)
+        facts = (("customer", customer.name), ("cost", cost), ("wait", round(wait, 3)))
+        return NotRun(429, "over_budget", "over the rate", wait, facts=facts)
 
     def settle(self, context, outcome):
         """Give the budget back for a request that did not run."""
--- a/rosemarypath/backends.py
+++ b/rosemarypath/backends.py
@@ -6,6 +6,7 @@
 """
 
 from collections import Counter, deque
+from math import exp
 
 __all__ = ["BackEndState", "BackEnds", "Load"]
 
@@ -17,6 +18,7 @@
 COLD_WINDOW = 1.0  # seconds over which sends to a cold back end are bounded
 HOLDER_REPORT_SECONDS = 2.0  # the order holder's report outdates the list for so long
 SLOW_SHARE = 0.1  # weight of a new latency in the moving average
+RATE_SECONDS = 1.0  # over which prompts are counted; news of others is half as old
 
 
 class Load:
@@ -26,6 +28,7 @@
         self.running = 0
         self.prompt_tokens = 0
         self.adapters = Counter()
+        self.prompt_rate = 0.0
 
 
 class BackEndState:
@@ -39,6 +42,8 @@
         self._failures = 0.0
         self._failed_at = now
         self._sent = deque()
+        self._prompt_rate = 0.0
+        self._prompt_at = now
         self._peer_loads = {}
         self.entry = entry
         self.seen_at = now
@@ -75,9 +80,21 @@
             load.prompt_tokens for load in self._fresh_peers(now)
         )
 
-    def note_peer_load(self, peer, running, prompt_tokens, adapters, now):
-        """Record what `peer` has on its way here."""
+    def own_prompt_rate(self, now):
+        """Return the prompt tokens a second that this daemon sent here lately."""
+        age = max(0.0, now - self._prompt_at)
+        return self._prompt_rate * exp(-age / RATE_SECONDS)
+
+    def prompt_rate(self, now):
+        """Return the prompt tokens a second that all daemons sent here lately."""
+        return self.own_prompt_rate(now) + sum(
+            load.prompt_rate for load in self._fresh_peers(now)
+        )
+
+    def note_peer_load(self, peer, running, prompt_tokens, adapters, rate, now):
+        """Record what `peer` has on its way here, and its prompt tokens a second."""
         load = Load()
+        load.prompt_rate = rate
         load.running = running
         load.prompt_tokens = prompt_tokens
         load.adapters.update(adapters)
@@ -106,6 +123,9 @@
         """Count a request that is sent."""
         self.own.running += 1
         self.own.prompt_tokens += demand.prompt_tokens
+        arrived = demand.prompt_tokens / RATE_SECONDS
+        self._prompt_rate = self.own_prompt_rate(now) + arrived
+        self._prompt_at = now
         if demand.adapter:
             self.own.adapters[demand.held_name] += 1
             self.last_used[demand.held_name] = now
--- a/rosemarypath/choice.py
+++ b/rosemarypath/choice.py
@@ -6,7 +6,9 @@
 
 The load answered here: a few adapters that make up a quarter of all requests, a long
 tail of adapters of which most are held nowhere, prompts of very different length,
-and back ends that fail, are cold or just came back.
+and back ends that fail, are cold or just came back. Prompts that follow each other at
+one engine hold up the streams that run there, and daemons learn of each other's sends
+some tenths of a second late; so the rate counts beside what waits.
 """
 
 import random
@@ -17,6 +19,10 @@
 __all__ = ["Choice", "Refusal", "choose_back_end"]
 
 PREFILL_TOKENS_PER_SECOND = 25_000.0  # what one engine reads; from the users' sheet
+CALM_SHARE = 0.25  # of its reading an engine may spend on prompts without long pauses
+PAUSE_SECONDS = (
+    1.2  # what reading prompts all the time beyond that costs: a late stream
+)
 LOAD_SECONDS = 0.3  # an adapter's load with its order, from the users' sheet
 HOME_STEP = 0.02  # seconds of difference that keep an adapter at its home
 RUNNING_SECONDS = 0.002  # what one more running request costs a new one
@@ -24,7 +30,7 @@
 FAILURE_SECONDS = 0.4  # what one recent failure costs
 DISTANCE_SECONDS = 0.001  # one way between two zones
 OLD_VERSION_SECONDS = 3.0  # an old version may start requests for so long
-JITTER_SECONDS = 0.001  # spreads equal choices
+JITTER_SECONDS = 0.01  # spreads choices made before daemons hear of each other
 
 
 @dataclass(frozen=True)
@@ -139,6 +145,8 @@
     if not demand.model:
         return cost + running / state.back_end.capacity * max(state.latency, 0.01)
     cost += state.prompt_tokens(now) / PREFILL_TOKENS_PER_SECOND
+    reading = state.prompt_rate(now) / PREFILL_TOKENS_PER_SECOND
+    cost += max(0.0, reading - CALM_SHARE) * PAUSE_SECONDS
     if not is_held:
         cost += LOAD_SECONDS + HOME_STEP * rank
     elif state.adapters.get(demand.held_name, 0) < facts.version:
--- a/rosemarypath/commands/reporting.py
+++ b/rosemarypath/commands/reporting.py
@@ -5,14 +5,19 @@
 The command that reports the burn of service-level objectives.
 """
 
+import asyncio
 from pathlib import Path
 
 from rosemarypath.commands import Command, add_daemon_argument, command
 from rosemarypath.errors import RosemarypathError
+from rosemarypath.httpclient import ConnectError, ConnectionPool, ResponseError
 from rosemarypath.report import burn_table, html_page, merge_levels, text_lines
 
 __all__ = ["ReportCommand"]
 
+FETCH_SECONDS = 5.0  # for one scrape; twice what a scraper usually allows a busy host
+OVER_SECONDS = 30.0  # between two scrapes of running daemons; two usual intervals
+
 
 @command("report")
 class ReportCommand(Command):
@@ -21,9 +26,47 @@
     @classmethod
     def add_arguments(cls, parser):
         parser.add_argument("--html", metavar="FILE", help="write a page with plots")
-        add_daemon_argument(parser, required=True)
+        parser.add_argument(
+            "--scrapes",
+            metavar="FILE",
+            nargs="+",
+            default=[],
+            help="saved answers of /metrics, one a file, of any daemons and times",
+        )
+        parser.add_argument(
+            "--metrics",
+            metavar="HOST:PORT",
+            nargs="+",
+            default=[],
+            help="metrics addresses of running daemons, scraped twice",
+        )
+        parser.add_argument(
+            "--over",
+            metavar="SECONDS",
+            type=float,
+            default=OVER_SECONDS,
+            help="time between the two scrapes (default: %(default)s)",
+        )
+        add_daemon_argument(parser)
 
     async def run(self, context, options):
+        if options.scrapes or options.metrics:
+            slices, now = await self._from_metrics(context, options)
+        else:
+            slices, now = await self._from_daemons(context)
+        rows = burn_table(slices, now)
+        if options.html:
+            page = html_page(rows, slices, now)
+            Path(options.html).write_text(page, encoding="utf-8")
+        context.show({"rows": rows}, text_lines(rows))
+        return 0
+
+    async def _from_daemons(self, context):
+        """Return slices and time from the operators' addresses of daemons."""
+        if not context.daemons:
+            raise RosemarypathError(
+                "no daemon is named", "give --daemon, --scrapes or --metrics"
+            )
         documents = []
         for address in context.daemons:
             try:
@@ -32,12 +75,50 @@
                 context.progress(str(error))
         if not documents:
             raise RosemarypathError("no daemon answered", "name others with --daemon")
-        slices = merge_levels(documents)
-        now = max(document["now"] for document in documents)
-        rows = burn_table(slices, now)
-        if options.html:
-            Path(options.html).write_text(
-                html_page(rows, slices, now), encoding="utf-8"
-            )
-        context.show({"rows": rows}, text_lines(rows))
-        return 0
+        return merge_levels(documents), max(document["now"] for document in documents)
+
+    async def _from_metrics(self, context, options):
+        """Return slices and time from saved scrapes and from running daemons."""
+        # The parser loads only here; the tool's other commands start without it.
+        from rosemarypath.scrapes import parse_scrape, slices_of
+
+        texts = {name: _read(name) for name in options.scrapes}
+        scrapes = [parse_scrape(text, name) for name, text in texts.items()]
+        for number in range(2 if options.metrics else 0):
+            if number:
+                await asyncio.sleep(options.over)
+            for address in options.metrics:
+                text = await _fetch(address)
+                scrapes.append(parse_scrape(text, address))
+        return slices_of(scrapes), max(scrape.at for scrape in scrapes)
+
+
+def _read(name):
+    try:
+        return Path(name).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise RosemarypathError(
+            f"{name} cannot be read: {error}", "name readable files with --scrapes"
+        ) from error
+
+
+async def _fetch(address):
+    """Return the answer of one daemon's metrics address."""
+    pool = ConnectionPool()
+    try:
+        reply = await pool.call(
+            address,
+            b"GET",
+            b"/metrics",
+            [(b"Host", b"metrics")],
+            b"",
+            FETCH_SECONDS,
+            0.0,
+        )
+    except (ConnectError, ResponseError) as error:
+        raise RosemarypathError(
+            f"{address} does not answer: {error}", "name running daemons with --metrics"
+        ) from error
+    finally:
+        pool.close()
+    return reply.body.decode()
--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import signal
+import time
 
 from rosemarypath.admission import Admission
 from rosemarypath.clock import lease_now, now
@@ -61,7 +62,7 @@
         self._tasks = set()
         self._stopping = asyncio.Event()
         self._log = log or DecisionLog(settings.machine)
-        self._metrics = EdgeMetrics()
+        self._metrics = EdgeMetrics(settings.machine, settings.zone, time.time())
         self._pool = ConnectionPool()
         self._store = dialect.store(settings.store_address, self._pool)
         own = Machine(
--- a/rosemarypath/edgemetrics.py
+++ b/rosemarypath/edgemetrics.py
@@ -5,19 +5,35 @@
 Counters and latency histograms of one daemon, in the text exposition format.
 """
 
+import time
 from bisect import bisect_left
 from collections import Counter
 
-__all__ = ["EdgeMetrics"]
+from rosemarypath.levels import level_events
+
+__all__ = ["LEVEL_EVENTS", "MACHINE_INFO", "SCRAPED_AT", "STARTED_AT", "EdgeMetrics"]
+
+LEVEL_EVENTS = "rosemarypath_level_events"
+MACHINE_INFO = "rosemarypath_machine"
+SCRAPED_AT = "rosemarypath_scrape_time_seconds"
+STARTED_AT = "rosemarypath_start_time_seconds"
 
 BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)  # seconds
 
 
 class EdgeMetrics:
-    """Counters by name, and histograms of seconds by event and kind of route."""
+    """
+    Counters by name, and histograms of seconds by event and kind of route.
 
-    def __init__(self):
+    `machine` and `zone` name the daemon's place; `now` is the wall clock at its start.
+    """
+
+    def __init__(self, machine="", zone="", now=0.0):
+        self._machine = machine
+        self._zone = zone
+        self._started_at = now
         self._counts = Counter()
+        self._levels = Counter()
         self._histograms = {}
 
     def count(self, name, amount=1):
@@ -32,27 +48,60 @@
         counts[bisect_left(BUCKETS, seconds)] += 1
         counts[-1] += seconds
 
+    def note_course(self, context, failure=""):
+        """
+        Count how a request met its objectives.
+
+        `context` is its `RequestContext`; `failure` is why it has no answer.
+        """
+        customer = context.customer.name if context.customer else ""
+        for objective, cause in level_events(context, failure):
+            self._levels[(objective, customer, cause)] += 1
+
     def exposition(self, store_calls):
         """Return headers and body of a scrape; the library loads at the first one."""
         from prometheus_client import CollectorRegistry
         from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
         registry = CollectorRegistry()
-        registry.register(_Collector(self._counts, self._histograms, store_calls))
+        registry.register(self._collector(store_calls))
         headers = [(b"Content-Type", CONTENT_TYPE_LATEST.encode())]
         return headers, generate_latest(registry)
 
+    def _collector(self, store_calls):
+        place = {"machine": self._machine, "zone": self._zone}
+        times = (self._started_at, time.time())
+        return _Collector(
+            self._counts, self._histograms, store_calls, self._levels, place, times
+        )
+
 
 class _Collector:
     """Turns the counts into the library's families."""
 
-    def __init__(self, counts, histograms, store_calls):
+    def __init__(self, counts, histograms, store_calls, levels, place, times):
         self._counts = counts
         self._histograms = histograms
         self._store_calls = store_calls
+        self._levels = levels
+        self._place = place
+        self._times = times
 
     def collect(self):
-        from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily
+        yield from self._daemon()
+        yield from self._events()
+        yield self._sends()
+
+    def _daemon(self):
+        from prometheus_client.core import GaugeMetricFamily, InfoMetricFamily
+
+        yield InfoMetricFamily(MACHINE_INFO, "The daemon's place.", self._place)
+        started_at, scraped_at = self._times
+        yield GaugeMetricFamily(STARTED_AT, "Unix time of the start.", started_at)
+        yield GaugeMetricFamily(SCRAPED_AT, "Unix time of this scrape.", scraped_at)
+
+    def _events(self):
+        from prometheus_client.core import CounterMetricFamily
 
         events = CounterMetricFamily(
             "rosemarypath_events", "Decisions by name.", labels=["name"]
@@ -68,6 +117,18 @@
         for (kind, verb), count in self._store_calls.items():
             calls.add_metric([kind, verb], count)
         yield calls
+        levels = CounterMetricFamily(
+            LEVEL_EVENTS,
+            "Objectives met (no cause) and missed.",
+            labels=["objective", "customer", "cause"],
+        )
+        for labels, count in self._levels.items():
+            levels.add_metric(list(labels), count)
+        yield levels
+
+    def _sends(self):
+        from prometheus_client.core import HistogramMetricFamily
+
         sends = HistogramMetricFamily(
             "rosemarypath_send_seconds",
             "Sends to back ends by their end.",
@@ -75,7 +136,7 @@
         )
         for labels, counts in self._histograms.items():
             sends.add_metric(list(labels), _cumulative(counts), counts[-1])
-        yield sends
+        return sends
 
 
 def _cumulative(counts):
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -17,6 +17,7 @@
 ASK_SECONDS = 0.5  # twice a load; a holder that is silent for longer is given up
 ASK_MARGIN = 0.05  # seconds that an answer between two daemons may take
 FRESH_SECONDS = 2.0  # a daemon's start is over after that
+LEAST_RATE = 50  # prompt tokens a second; a prompt of half a thousand after 2 s
 UNKNOWN_VERSION = (0, float("-inf"))
 
 
@@ -41,6 +42,7 @@
         self._mesh = mesh
         self._log = log
         self._versions = {}
+        self._reported = {}
         self.zone = settings.zone
         self.table = None
         self.refuses_new = False
@@ -197,14 +199,18 @@
         """Take over loads, grants and residency from a heartbeat."""
         name = identity.partition("/")[0]
         self.budgets.note_peer(identity, state.spent)
-        for back_end, known in self.back_ends.states.items():
-            load = state.loads.get(back_end)
-            if load is None:
-                known.forget_peer(name)
-            else:
-                known.note_peer_load(name, *load, now)
-            held = state.held.get(back_end)
-            if held is not None and back_end not in self.keepers:
+        for back_end in self._reported.get(name, set()) - state.loads.keys():
+            if back_end in self.back_ends.states:
+                self.back_ends.states[back_end].forget_peer(name)
+        self._reported[name] = set(state.loads)
+        for back_end, load in state.loads.items():
+            known = self.back_ends.states.get(back_end)
+            if known is not None:
+                rate = state.rates.get(back_end, 0)
+                known.note_peer_load(name, *load, rate, now)
+        for back_end, held in state.held.items():
+            known = self.back_ends.states.get(back_end)
+            if known is not None and back_end not in self.keepers:
                 known.note_holder_report([HeldModel(*entry) for entry in held], now)
 
     def own_loads(self):
@@ -216,6 +222,14 @@
                 loads[name] = (own.running, own.prompt_tokens, dict(own.adapters))
         return loads
 
+    def own_rates(self, now):
+        """Return the prompt tokens a second sent to each back end lately."""
+        rates = {
+            name: round(state.own_prompt_rate(now))
+            for name, state in self.back_ends.states.items()
+        }
+        return {name: rate for name, rate in rates.items() if rate >= LEAST_RATE}
+
     def own_held(self):
         """Return what the engines hold whose orders this daemon gives."""
         return {
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -64,13 +64,16 @@
             return
         context = self._admission.admit(request)
         if isinstance(context, NotRun):
-            self._answer_outcome(request, connection, context, "")
+            request_id = self._dialect.request_id(request.headers)
+            self._answer_outcome(request, connection, context, request_id)
             return
         try:
             outcome = await self._run(context, connection)
         except asyncio.CancelledError:
             self._log.write("entry", "left", request=context.id)
             raise
+        failure = outcome.code if outcome else context.passed_failure
+        self._metrics.note_course(context, failure)
         if outcome is not None:
             self._admission.settle(context, outcome)
             self._answer_outcome(request, connection, outcome, context.id)
@@ -151,6 +154,7 @@
         outcome = await self._fleet.ensure(
             state, demand.model, demand.adapter, max(LOAD_WAIT_LEAST, seconds)
         )
+        context.load_seconds += now() - started
         if not outcome.is_held:
             context.unloadable.add(state.name)
         self._log.write(
@@ -191,6 +195,7 @@
             why=outcome.code,
             status=outcome.status,
             message=outcome.message,
+            **dict(getattr(outcome, "facts", ())),
         )
         if connection.has_answered:
             connection.abort()
--- a/rosemarypath/groups.py
+++ b/rosemarypath/groups.py
@@ -86,13 +86,17 @@
     loads = {}
     held = {}
     revisions = {}
+    rates = Counter()
     for state in [*states, own]:
         held.update(state.held)
+        rates.update(state.rates)
         for kind, revision in state.revisions.items():
             revisions[kind] = max(revision, revisions.get(kind, 0))
         for back_end, load in state.loads.items():
             loads[back_end] = _add(loads.get(back_end), load)
-    return GroupDigest(lead, number, members, revisions, spent, loads, held)
+    return GroupDigest(
+        lead, number, members, revisions, spent, loads, held, dict(rates)
+    )
 
 
 def _add(load, other):
--- a/rosemarypath/heartbeats.py
+++ b/rosemarypath/heartbeats.py
@@ -72,6 +72,7 @@
             spent=self._fleet.budgets.spent,
             loads=self._fleet.own_loads(),
             held=self._fleet.own_held(),
+            rates=self._fleet.own_rates(now()),
         )
         for peer in self._peers.direct:
             message = msgspec.structs.replace(state, heard=peer.number)
--- a/rosemarypath/levels.py
+++ b/rosemarypath/levels.py
@@ -7,7 +7,7 @@
 
 from collections import defaultdict, deque
 
-__all__ = ["FIRST_TOKEN_SECONDS", "GAP_SECONDS", "ServiceLevels"]
+__all__ = ["FIRST_TOKEN_SECONDS", "GAP_SECONDS", "ServiceLevels", "level_events"]
 
 FIRST_TOKEN_SECONDS = 1.5
 GAP_SECONDS = 0.061
@@ -51,3 +51,34 @@
         if not self._slices or self._slices[-1][0] < start:
             self._slices.append((start, defaultdict(int)))
         return self._slices[-1]
+
+
+def level_events(context, failure):
+    """
+    Return the objectives that a request met or missed, with causes, on the platform.
+
+    `context` is its `RequestContext` at its end, `failure` why it got no answer. What
+    a customer asks beyond its rate, and a caller that left, miss no objective.
+    """
+    if failure in {"over_budget", "left"}:
+        return []
+    if failure:
+        return [("refusal", failure)]
+    events = [("refusal", "")]
+    if context.first_at is None:
+        return events
+    first = context.first_at - context.request.arrived
+    is_late = first > context.route.objective
+    events.append(("first_token", _late_cause(context) if is_late else ""))
+    longest = context.route.gap_objective
+    if longest and context.events.count > 1:
+        is_cut = context.worst_gap > longest
+        events.append(("token_gap", "back_end" if is_cut else ""))
+    return events
+
+
+def _late_cause(context):
+    """Return why the first byte of an answer was late."""
+    if context.sends > 1:
+        return "repeated"
+    return "load_stall" if context.load_seconds > 0.0 else "back_end"
--- a/rosemarypath/messages.py
+++ b/rosemarypath/messages.py
@@ -296,7 +296,8 @@
     customers to the tokens it has admitted since its start, `loads` maps back ends to
     running requests, prompt tokens not yet read and running requests by adapter.
     `held` maps the back ends whose orders it gives to what they hold: model, version,
-    adapters with versions.
+    adapters with versions. `rates` maps back ends to the prompt tokens a second that
+    it sent there lately.
     """
 
     number: int
@@ -308,6 +309,7 @@
     spent: dict[str, int]
     loads: dict[str, tuple[int, int, dict[str, int]]]
     held: dict[str, list[tuple[str, int, dict[str, int]]]]
+    rates: dict[str, int] = {}
 
 
 class MemberState(msgspec.Struct, frozen=True, array_like=True):
@@ -330,7 +332,7 @@
 
     `lead` is the ``name/incarnation`` of the daemon that made it, `number` that of its
     own heartbeat. `revisions` are the highest of the group, `spent` is what the group
-    granted since the lead's start; `loads` and `held` are as in `PeerState`.
+    granted since the lead's start; the rest is as in `PeerState`.
     """
 
     lead: str
@@ -340,6 +342,7 @@
     spent: dict[str, int]
     loads: dict[str, tuple[int, int, dict[str, int]]]
     held: dict[str, list[tuple[str, int, dict[str, int]]]]
+    rates: dict[str, int]
 
 
 class GroupNews(Message):
--- a/rosemarypath/mirror.py
+++ b/rosemarypath/mirror.py
@@ -26,7 +26,7 @@
 
 WATCH_SECONDS = 20.0  # a waiting watch is priced as one call, however long
 PROBE_SECONDS = 0.5  # the same for the kind whose watch shows that the store speaks
-GATHER_SECONDS = 0.1  # pause between two watches that collects a burst of events
+GATHER_SECONDS = 0.25  # pause between two watches that collects a burst of events
 RETRY_FIRST = 0.1  # seconds before the first new try after a failure
 RETRY_MOST = 1.0  # seconds between tries while the store stays away
 
--- a/rosemarypath/outcome.py
+++ b/rosemarypath/outcome.py
@@ -35,7 +35,8 @@
     No back end started the request; running it again is safe.
 
     `retry_after` is in seconds, 0 when waiting does not help; `can_retry` tells
-    whether another back end may be tried at once.
+    whether another back end may be tried at once. `facts` are pairs of name and value
+    that the log line shows.
     """
 
     status: int
@@ -43,6 +44,7 @@
     message: str
     retry_after: float = 0.0
     can_retry: bool = False
+    facts: tuple = ()
     tag = True
 
 
--- a/rosemarypath/platform/dialect.py
+++ b/rosemarypath/platform/dialect.py
@@ -42,6 +42,7 @@
     forwarded_headers = staticmethod(requests.forwarded_headers)
     answer_head = staticmethod(requests.answer_head)
     refusal_headers = staticmethod(requests.refusal_headers)
+    request_id = staticmethod(requests.request_id)
 
     @staticmethod
     def directory_answer(addresses, ttl):
--- a/rosemarypath/platform/requests.py
+++ b/rosemarypath/platform/requests.py
@@ -12,6 +12,7 @@
     "decode_demand",
     "forwarded_headers",
     "refusal_headers",
+    "request_id",
 ]
 
 REQUEST_ID = b"x-attempt-id"
@@ -56,6 +57,11 @@
 )
 
 
+def request_id(headers):
+    """Return the identifier of a caller's request, empty where it has none."""
+    return dict(headers).get(REQUEST_ID, b"").decode("latin-1")
+
+
 def decode_demand(headers):
     """
     Return the `Demand` that a caller's headers (lower-case names) express.
@@ -63,13 +69,13 @@
     Raises `BadRequestError` when one of them cannot be read.
     """
     values = dict(headers)
-    request = values.get(REQUEST_ID)
+    request = request_id(headers)
     if not request:
         raise BadRequestError("the request has no id", "send X-Attempt-Id")
     model, _, adapter = values.get(MODEL, b"").decode("latin-1").partition("/")
     prompt, output = _tokens(values.get(TOKENS))
     return Demand(
-        request=request.decode("latin-1"),
+        request=request,
         deadline=_deadline(values.get(DEADLINE)),
         key=_key(values.get(b"authorization", b"")),
         model=model,
--- a/rosemarypath/requestcontext.py
+++ b/rosemarypath/requestcontext.py
@@ -35,6 +35,8 @@
         The `EventSplitter` of a stream.
     `waits_since`
         Since when it waits for a place of its adapter.
+    `load_seconds`
+        How long it waited for loads of its adapter.
     `first_at`, `last_at`, `worst_gap`
         Times of the events passed on, and the longest pause.
     """
@@ -54,6 +56,7 @@
     failure: tuple | None = None
     events: object = None
     waits_since: float | None = None
+    load_seconds: float = 0.0
     first_at: float | None = None
     last_at: float = 0.0
     worst_gap: float = 0.0
@@ -64,6 +67,11 @@
         """Return the request's identifier."""
         return self.demand.request
 
+    @property
+    def passed_failure(self):
+        """Return ``failed`` when a back end's own failure was the answer."""
+        return "failed" if self.failure and self.first_at is None else ""
+
     def note_event(self, at):
         """Record that events are passed on at the time `at`."""
         if self.first_at is None:
--- /dev/null
+++ b/rosemarypath/scrapes.py
@@ -0,0 +1,107 @@
+"""
+rosemarypath.scrapes
+~~~~~~~~~~~~~~~~~~~~
+
+Reads saved scrapes of daemons' metrics, for the service-level report.
+"""
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from rosemarypath.edgemetrics import (
+    LEVEL_EVENTS,
+    MACHINE_INFO,
+    SCRAPED_AT,
+    STARTED_AT,
+)
+from rosemarypath.errors import RosemarypathError
+
+__all__ = ["Scrape", "ScrapeError", "parse_scrape", "slices_of"]
+
+
+class ScrapeError(RosemarypathError):
+    """A saved scrape cannot be used."""
+
+
+@dataclass(frozen=True)
+class Scrape:
+    """
+    One scrape of one daemon.
+
+    `at` and `started_at` are in Unix seconds; `counts` maps objective, customer and
+    cause to the events since the start, where an empty cause stands for good ones.
+    """
+
+    machine: str
+    zone: str
+    at: float
+    started_at: float
+    counts: Counter = field(default_factory=Counter)
+
+
+def parse_scrape(text, source):
+    """
+    Return the `Scrape` in the text exposition `text`.
+
+    `source` names it in errors; raises `ScrapeError`.
+    """
+    found = {"counts": Counter()}
+    try:
+        for family in text_string_to_metric_families(text):
+            for sample in family.samples:
+                _note_sample(found, sample)
+    except ValueError as error:
+        raise ScrapeError(
+            f"{source} is no scrape: {error}", "save what /metrics answers"
+        ) from error
+    missing = [name for name in ("machine", "at", "started_at") if name not in found]
+    if missing:
+        raise ScrapeError(
+            f"{source} has no {', '.join(missing)}", "scrape a rosemarypath daemon"
+        )
+    return Scrape(**found)
+
+
+def _note_sample(found, sample):
+    labels = sample.labels
+    if sample.name == f"{MACHINE_INFO}_info":
+        found["machine"] = labels["machine"]
+        found["zone"] = labels["zone"]
+    elif sample.name == SCRAPED_AT:
+        found["at"] = sample.value
+    elif sample.name == STARTED_AT:
+        found["started_at"] = sample.value
+    elif sample.name == f"{LEVEL_EVENTS}_total":
+        identity = (labels["objective"], labels["customer"], labels["cause"])
+        found["counts"][identity] += int(sample.value)
+
+
+def slices_of(scrapes):
+    """
+    Return ``{start: Counter}`` as the report takes it, from scrapes in any order.
+
+    A slice lies between two scrapes of one daemon; the first begins at its start.
+    """
+    by_start = defaultdict(list)
+    for scrape in scrapes:
+        by_start[(scrape.machine, scrape.started_at)].append(scrape)
+    slices = {}
+    for series in by_start.values():
+        series.sort(key=lambda scrape: scrape.at)
+        start = series[0].started_at
+        known = Counter()
+        for scrape in series:
+            _add_slice(slices, start, scrape, known)
+            start = scrape.at
+            known = scrape.counts
+    return slices
+
+
+def _add_slice(slices, start, scrape, known):
+    counts = slices.setdefault(start, Counter())
+    for (objective, customer, cause), number in scrape.counts.items():
+        fresh = number - known[(objective, customer, cause)]
+        if fresh:
+            counts[(objective, customer, scrape.zone, cause)] += fresh
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -150,6 +150,7 @@
             state.note_success(now(), now() - started)
         if context.head is not None:
             return self._lost(context, state, started, "broken", "not a stream")
+        context.note_event(now())
         connection.answer(head.status, head.headers, body)
         self._note_end(context, state, "answered", started, str(head.status))
         return None
--- a/tests/simulatedfleet.py
+++ b/tests/simulatedfleet.py
@@ -88,6 +88,9 @@
     def own_held(self):
         return self.held
 
+    def own_rates(self, now):
+        return {"engine": 100 * self.running}
+
     def note_peer_state(self, identity, state, now):
         self.heard[identity] = (now, state)
         self.heard_held.update(state.held)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -140,3 +140,101 @@
         running.append((now + 2.0, choice.state, asked))
         most = max(most, max(state.own.running for state in states))
     assert most <= max(24, 2.0 * rate * 2.0 / 6)
+
+
+DAEMONS = 24
+ENGINES = 10
+NEWS_SECONDS = 0.4  # what other groups' loads are late by
+READ_RATE = 29_400.0  # prompt tokens a second of one engine, from the users' sheet
+LONG_PAUSE = 0.25  # seconds of reading in 0.3 s: streams there pause for too long
+
+
+class Views:
+    """Daemons that each choose among the same engines and hear of each other late."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.views = [
+            [engine(f"e{n}", [f"a{n}"]) for n in range(ENGINES)] for _ in range(DAEMONS)
+        ]
+        self.sent = {f"e{n}": [] for n in range(ENGINES)}
+        self.running = []
+        self.held = []
+
+    def ask(self, adapter, now):
+        view = self.rng.choice(self.views)
+        wanted = demand(adapter, prompt=self.rng.randint(300, 1500))
+        choice = choose_back_end(view, wanted, FACTS, now)
+        if choice.needs_load:
+            choice.state.adapters[wanted.held_name] = 1
+            self.held.append((now + NEWS_SECONDS, choice.state.name, wanted.held_name))
+        choice.state.begin(wanted, now)
+        self.sent[choice.state.name].append((now, wanted.prompt_tokens))
+        self.running.append((now + 0.05, "first", choice.state, wanted))
+        self.running.append((now + 1.0, "end", choice.state, wanted))
+
+    def pass_time(self, now):
+        for entry in [e for e in self.running if e[0] <= now]:
+            self.running.remove(entry)
+            _, what, state, wanted = entry
+            (
+                state.note_first_byte(wanted)
+                if what == "first"
+                else state.end(wanted, True, now)
+            )
+
+    def tell(self, now):
+        """Each daemon hears what all others have under way."""
+        for _, name, held in [h for h in self.held if h[0] <= now]:
+            for view in self.views:
+                view[int(name[1:])].adapters[held] = 1
+        for number, view in enumerate(self.views):
+            for peer, other in enumerate(self.views):
+                if peer != number:
+                    _hear(view, other, f"d{peer}", now)
+
+    def late_share(self):
+        """Return the share of prompts that an engine reads among too many others."""
+        late = total = 0
+        for sends in self.sent.values():
+            for at, _ in sends:
+                near = sum(t for other, t in sends if at <= other < at + 0.3)
+                total += 1
+                late += near / READ_RATE > LONG_PAUSE
+        return late / total
+
+
+def _hear(view, other, peer, now):
+    for known, state in zip(view, other):
+        own = state.own
+        rate = state.own_prompt_rate(now)
+        known.note_peer_load(peer, own.running, own.prompt_tokens, {}, rate, now)
+
+
+def test_a_popular_adapter_does_not_hold_up_the_streams_of_its_engine():
+    """
+    Engines read prompts a quarter of the time; a fifth of all requests are for one
+    adapter, three tenths for none. One stream in twenty may pause for long.
+    """
+    assert sum(_late_share(seed) for seed in (1, 2, 3, 4)) / 4 < 0.05
+
+
+def _late_share(seed):
+    random.seed(seed)
+    play = Views(seed)
+    now = told = 0.0
+    while now < 12.0:
+        now += play.rng.expovariate(70.0)
+        play.pass_time(now)
+        if now - told >= NEWS_SECONDS:
+            told = now
+            play.tell(now)
+        play.ask(_adapter(play.rng), now)
+    return play.late_share()
+
+
+def _adapter(rng):
+    drawn = rng.random()
+    if drawn < 0.2:
+        return "a0"
+    return "" if drawn < 0.5 else f"a{rng.randint(1, ENGINES - 1)}"
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -33,7 +33,7 @@
     ]
 
 
-def state(number=1, spent=None, loads=None, held=None, revisions=None):
+def state(number=1, spent=None, loads=None, held=None, revisions=None, rates=None):
     return PeerState(
         number,
         0,
@@ -44,6 +44,7 @@
         spent or {},
         loads or {},
         held or {},
+        rates or {},
     )
 
 
@@ -92,12 +93,17 @@
 
 
 def test_a_digest_adds_loads_and_keeps_the_newest_revision():
-    first = state(loads={"e": (2, 100, {"m/a": 2})}, revisions={"servers": 7})
+    first = state(
+        loads={"e": (2, 100, {"m/a": 2})}, revisions={"servers": 7}, rates={"e": 90}
+    )
     second = state(loads={"e": (1, 30, {"m/a": 1, "m/b": 1}), "f": (1, 0, {})})
-    own = state(held={"e": [("m", 1, {"a": 1})]}, revisions={"servers": 6})
+    own = state(
+        held={"e": [("m", 1, {"a": 1})]}, revisions={"servers": 6}, rates={"e": 10}
+    )
     members = [MemberState("l/1", 1, False, True, True)]
     digest = make_digest("l/1", 1, members, [first, second], own, {"kiln": 9})
     assert digest.loads == {"e": (3, 130, {"m/a": 3, "m/b": 1}), "f": (1, 0, {})}
     assert digest.revisions == {"servers": 7}
     assert digest.held == {"e": [("m", 1, {"a": 1})]}
+    assert digest.rates == {"e": 100}
     assert digest.spent == {"kiln": 9}
