--- a/rosemarypath/choice.py
+++ b/rosemarypath/choice.py
@@ -30,7 +30,8 @@
 FAILURE_SECONDS = 0.4  # what one recent failure costs
 DISTANCE_SECONDS = 0.001  # one way between two zones
 OLD_VERSION_SECONDS = 3.0  # an old version may start requests for so long
-JITTER_SECONDS = 0.01  # spreads choices made before daemons hear of each other
+EQUAL_SECONDS = 0.001  # spreads equal choices of plain services
+JITTER_SECONDS = 0.03  # spreads choices made before daemons hear of each other
 
 
 @dataclass(frozen=True)
@@ -139,16 +140,17 @@
     cost = running * RUNNING_SECONDS
     cost += max(0, running - state.back_end.capacity) * QUEUE_SECONDS
     cost += state.failures(now) * FAILURE_SECONDS
-    cost += JITTER_SECONDS * random.random()
     if state.back_end.zone != facts.zone:
         cost += DISTANCE_SECONDS
     if not demand.model:
+        cost += EQUAL_SECONDS * random.random()
         return cost + running / state.back_end.capacity * max(state.latency, 0.01)
     cost += state.prompt_tokens(now) / PREFILL_TOKENS_PER_SECOND
     reading = state.prompt_rate(now) / PREFILL_TOKENS_PER_SECOND
     cost += max(0.0, reading - CALM_SHARE) * PAUSE_SECONDS
     if not is_held:
-        cost += LOAD_SECONDS + HOME_STEP * rank
-    elif state.adapters.get(demand.held_name, 0) < facts.version:
+        return cost + LOAD_SECONDS + HOME_STEP * rank
+    cost += JITTER_SECONDS * random.random()
+    if state.adapters.get(demand.held_name, 0) < facts.version:
         cost += LOAD_SECONDS
     return cost
--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -32,7 +32,7 @@
 
 __all__ = ["EdgeDaemon"]
 
-HEARTBEAT_SECONDS = 0.2  # loads and grants are as old as this at the others
+HEARTBEAT_SECONDS = 0.1  # loads are as old at others; prompts are read in less
 LINK_SILENCE = 0.8  # seconds without an answer after which a link is dialled anew
 HOUSEKEEPING_SECONDS = 1.0  # between two looks at silent machines and idle connections
 DIRECTORY_TTL = 1  # seconds that callers keep an answer of the directory
--- a/rosemarypath/explaining.py
+++ b/rosemarypath/explaining.py
@@ -106,7 +106,8 @@
         and not record.get("request")
         and end - CONTEXT_SECONDS <= record["at"] <= end
     ]
-    outcome, cause = _judge(own)
+    restart = _next_start(own[-1], records)
+    outcome, cause = _judge(own, restart)
     return Explanation(
         request,
         tuple(own),
@@ -118,34 +119,71 @@
     )
 
 
-def _judge(records):
+def _next_start(last, records):
+    """Return the seconds until the daemon of `last` started again, or ``None``."""
+    starts = [
+        record["at"] - last["at"]
+        for record in records
+        if record["machine"] == last["machine"]
+        and record["event"] == "start"
+        and record["at"] > last["at"]
+    ]
+    return min(starts, default=None)
+
+
+def _judge(records, restart):
     """Return the outcome and the cause that the records of one request show."""
     last = records[-1]
     event = last["event"]
     if event == "left":
         return "the caller left", _why_left(records)
+    if event == "passed":
+        status = last.get("status")
+        return f"the back end's failure {status} was passed on", _tries(records)
     if event == "answered":
-        slow = _why_late(last)
-        return f"answered ({last.get('detail')})", slow or "nothing went wrong here"
+        return _judge_answer(last)
     why = last.get("why") or event
     cause = CAUSES.get(why, why)
     earlier = [r["event"] for r in records[:-1] if r["event"] in CAUSES]
     if earlier and why != earlier[-1]:
         cause += f"; before that: {', '.join(earlier)}"
-    if event in {"refused", "failed"}:
+    if event in {"refused", "failed"} and last.get("part") == "entry":
         return f"{event} with status {last.get('status')}", cause
-    return "no end is logged", "the daemon ended or was cut off while it ran"
+    return "no end is logged", _why_endless(restart)
 
 
-def _why_left(records):
+def _judge_answer(last):
+    detail = str(last.get("detail"))
+    if detail.startswith("5"):
+        return f"answered ({detail})", "the back end itself answered with that failure"
+    return f"answered ({detail})", _why_late(last)
+
+
+def _tries(records):
     sends = [r for r in records if r.get("part") == "send"]
-    if sends:
-        last = sends[-1]
-        return f"the last send ended as {last['event']} after {last['seconds']} s"
-    loads = [r for r in records if r.get("part") == "load"]
-    if loads:
-        return f"it waited for loads: {', '.join(str(r.get('why')) for r in loads)}"
-    return "no answer had come from the back end when it left"
+    tried = ", ".join(f"{r.get('back_end')}: {r.get('detail')}" for r in sends)
+    return f"every back end that was asked failed by itself ({tried})"
+
+
+def _why_endless(restart):
+    if restart is None:
+        return "its daemon was cut off, or wrote no further line while it ran"
+    return f"its daemon ended while it ran; it started again {restart:.1f} s later"
+
+
+def _why_left(records):
+    last = records[-1]
+    waited = f"{last.get('waited')} s"
+    if last.get("stage") == "load":
+        return f"it waited {waited} for {last['back_end']} to load the adapter"
+    if last.get("stage") == "place":
+        return f"it waited {waited} for a place of its adapter on any engine"
+    if last.get("stage") == "send" and last.get("events"):
+        count = last["events"]
+        return f"{last['back_end']} had sent {count} events; asked {waited} before"
+    if last.get("stage") == "send":
+        return f"{last['back_end']} had sent nothing {waited} after it was asked"
+    return "no answer had come when it left"
 
 
 def _why_late(record):
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -70,7 +70,7 @@
         try:
             outcome = await self._run(context, connection)
         except asyncio.CancelledError:
-            self._log.write("entry", "left", request=context.id)
+            self._note_left(context)
             raise
         failure = outcome.code if outcome else context.passed_failure
         self._metrics.note_course(context, failure)
@@ -78,6 +78,18 @@
             self._admission.settle(context, outcome)
             self._answer_outcome(request, connection, outcome, context.id)
 
+    def _note_left(self, context):
+        """Log what a request waited for when its caller left."""
+        self._log.write(
+            "entry",
+            "left",
+            request=context.id,
+            stage=context.stage,
+            back_end=context.stage_name,
+            waited=round(now() - context.stage_at, 4),
+            events=context.events.count,
+        )
+
     async def _run(self, context, connection):
         """Try back ends until the answer is sent (``None``) or an outcome stands."""
         while True:
@@ -88,13 +100,16 @@
             if isinstance(choice, Refusal):
                 if self._may_wait_for_load(context, choice, at):
                     context.unloadable.clear()
+                    context.enter("place", "", at)
                     await asyncio.sleep(PLACE_PAUSE)
                     continue
                 outcome = self._no_back_end(context, choice)
                 return self._final(context, outcome, connection)
             if choice.needs_load:
+                context.enter("load", choice.state.name, at)
                 await self._load(context, choice.state)
                 continue
+            context.enter("send", choice.state.name, at)
             outcome = await self._sender.send(context, choice.state, connection)
             if outcome is None:
                 return None
@@ -120,6 +135,7 @@
         if context.failure is not None and context.head is None:
             head, body = context.failure
             connection.answer(head.status, head.headers, body)
+            self._log.write("entry", "passed", request=context.id, status=head.status)
             return None
         if isinstance(outcome, NotRun) and context.may_have_run:
             return Unknown(502, outcome.code, outcome.message)
--- a/rosemarypath/heartbeats.py
+++ b/rosemarypath/heartbeats.py
@@ -21,9 +21,8 @@
 __all__ = ["Heartbeats"]
 
 FAR_SECONDS = 1.0  # a lead that is silent for longer is looked for anew
-RELAY_BEATS = 2  # heartbeats between two deliveries of other groups' digests
-HELD_BEATS = 5  # heartbeats after which a digest repeats what engines hold
-SEARCHED = 2  # members of a group that are addressed while its lead is unknown
+HELD_BEATS = 10  # heartbeats after which is repeated what engines hold
+SEARCHED = 1  # members of a group that are addressed while its lead is unknown
 
 
 class Heartbeats:
@@ -50,7 +49,8 @@
         self._totals = GroupTotals()
         self._far = {}
         self._unrelayed = {}
-        self._held = {}
+        self._own_held = {}
+        self._group_held = {}
 
     def start(self):
         """Begin to take messages."""
@@ -74,8 +74,9 @@
             held=self._fleet.own_held(),
             rates=self._fleet.own_rates(now()),
         )
+        told = self._without_known(state)
         for peer in self._peers.direct:
-            message = msgspec.structs.replace(state, heard=peer.number)
+            message = msgspec.structs.replace(told, heard=peer.number)
             self._mesh.send(peer.machine.identity, message, expect_answer=True)
         if not self._peers.is_grouped:
             return
@@ -83,6 +84,14 @@
             self._tell_leads(state)
             self._tell_group()
 
+    def _without_known(self, state):
+        """Return `state` without what the receivers know of the engines' holdings."""
+        is_known = state.held == self._own_held and self._beats % HELD_BEATS != 0
+        self._own_held = state.held
+        if not is_known:
+            return state
+        return msgspec.structs.replace(state, held={}, is_held_known=True)
+
     def _tell_leads(self, state):
         """Send the own group's digest to the leads of the others."""
         news = GroupNews([self._digest(state)])
@@ -103,7 +112,7 @@
 
     def _tell_group(self):
         """Pass the other groups' digests on to the own group."""
-        if self._beats % RELAY_BEATS or not self._unrelayed:
+        if not self._unrelayed:
             return
         news = GroupNews(list(self._unrelayed.values()))
         self._unrelayed = {}
@@ -113,19 +122,20 @@
     def _digest(self, state):
         at = now()
         own = self._peers.own
-        members = [_member(own.identity, state)]
+        members = [_member(own.identity, state, 0.0)]
         states = []
         for peer in self._peers.direct:
             known = self._states.get(peer.machine.identity)
             if known is not None and self._peers.is_heard(peer.machine.name, at):
-                members.append(_member(peer.machine.identity, known))
+                age = at - peer.heard_at
+                members.append(_member(peer.machine.identity, known, age))
                 states.append(known)
         spent = self._totals.with_own(state.spent)
         digest = make_digest(own.identity, state.number, members, states, state, spent)
         held = digest.held
-        if held == self._held and self._beats % HELD_BEATS:
+        if held == self._group_held and self._beats % HELD_BEATS:
             digest = msgspec.structs.replace(digest, held={})
-        self._held = held
+        self._group_held = held
         return digest
 
     def _on_peer_state(self, identity, state):
@@ -139,6 +149,9 @@
             return
         self._fleet.note_peer_state(identity, state, at)
         self._totals.note(identity, state.spent)
+        known = self._states.get(identity)
+        if state.is_held_known and known is not None:
+            state = msgspec.structs.replace(state, held=known.held)
         self._states[identity] = state
         if len(self._states) > 2 * len(self._peers.direct):
             self._forget_former_members()
@@ -176,9 +189,14 @@
         self._peers.note_acknowledgement(identity, HOLDER_KIND, ack)
 
 
-def _member(identity, state):
+def _member(identity, state, age):
     return MemberState(
-        identity, state.number, state.is_leaving, state.is_ready, state.has_store
+        identity,
+        state.number,
+        state.is_leaving,
+        state.is_ready,
+        state.has_store,
+        round(age, 3),
     )
 
 
--- a/rosemarypath/messages.py
+++ b/rosemarypath/messages.py
@@ -297,7 +297,8 @@
     running requests, prompt tokens not yet read and running requests by adapter.
     `held` maps the back ends whose orders it gives to what they hold: model, version,
     adapters with versions. `rates` maps back ends to the prompt tokens a second that
-    it sent there lately.
+    it sent there lately. With `is_held_known`, `held` is left out as it is that of the
+    heartbeat before.
     """
 
     number: int
@@ -310,13 +311,15 @@
     loads: dict[str, tuple[int, int, dict[str, int]]]
     held: dict[str, list[tuple[str, int, dict[str, int]]]]
     rates: dict[str, int] = {}
+    is_held_known: bool = False
 
 
 class MemberState(msgspec.Struct, frozen=True, array_like=True):
     """
     What a group's lead last heard of one daemon.
 
-    `identity` is ``name/incarnation``; the rest is that of its `PeerState`.
+    `identity` is ``name/incarnation``, `age` the seconds since it was heard; the rest
+    is that of its `PeerState`.
     """
 
     identity: str
@@ -324,6 +327,7 @@
     is_leaving: bool
     is_ready: bool
     has_store: bool
+    age: float
 
 
 class GroupDigest(Message):
--- a/rosemarypath/peers.py
+++ b/rosemarypath/peers.py
@@ -13,8 +13,8 @@
 
 __all__ = ["Peer", "Peers"]
 
-SILENT_SECONDS = 1.2  # six heartbeats; a silent daemon is not named to callers
-WATCHER_SILENT_SECONDS = 0.7  # three heartbeats; then another one watches
+SILENT_SECONDS = 1.2  # a dozen heartbeats; a silent daemon is not named to callers
+WATCHER_SILENT_SECONDS = 0.7  # some heartbeats; then another one watches
 RELAYED_SECONDS = 1.3  # on top for news by way of two leads, of which one may fail
 WATCHERS = 3  # machines that watch the store; two may fail at once
 WATCH_RESOURCE = "watch"
@@ -158,7 +158,8 @@
             peer = self.known(member.identity)
             if peer is None or peer.is_direct or member.number <= peer.number:
                 continue
-            self._note_member(peer, member, now, lease_now)
+            age = max(0.0, member.age)
+            self._note_member(peer, member, now - age, lease_now - age)
             peer.revisions = digest.revisions
 
     def note_ping(self, identity, now, lease_now):
@@ -180,8 +181,8 @@
 
     def _note_member(self, peer, state, now, lease_now):
         peer.number = state.number
-        peer.heard_at = now
-        peer.lease_heard_at = lease_now
+        peer.heard_at = max(peer.heard_at, now)
+        peer.lease_heard_at = max(peer.lease_heard_at, lease_now)
         peer.is_leaving = state.is_leaving
         peer.is_ready = state.is_ready
         peer.has_store = state.has_store
--- a/rosemarypath/requestcontext.py
+++ b/rosemarypath/requestcontext.py
@@ -35,6 +35,8 @@
         The `EventSplitter` of a stream.
     `waits_since`
         Since when it waits for a place of its adapter.
+    `stage`, `stage_at`, `stage_name`
+        What it waits for, since when, and the back end that this concerns.
     `load_seconds`
         How long it waited for loads of its adapter.
     `first_at`, `last_at`, `worst_gap`
@@ -56,6 +58,9 @@
     failure: tuple | None = None
     events: object = None
     waits_since: float | None = None
+    stage: str = ""
+    stage_at: float = 0.0
+    stage_name: str = ""
     load_seconds: float = 0.0
     first_at: float | None = None
     last_at: float = 0.0
@@ -72,6 +77,12 @@
         """Return ``failed`` when a back end's own failure was the answer."""
         return "failed" if self.failure and self.first_at is None else ""
 
+    def enter(self, stage, name, at):
+        """Record that it now waits for `stage`, at the back end `name` if any."""
+        self.stage = stage
+        self.stage_name = name
+        self.stage_at = at
+
     def note_event(self, at):
         """Record that events are passed on at the time `at`."""
         if self.first_at is None:
--- a/tests/simulatedfleet.py
+++ b/tests/simulatedfleet.py
@@ -16,7 +16,7 @@
 
 __all__ = ["BEAT", "Daemon", "FakeMesh", "Network", "Play"]
 
-BEAT = 0.2
+BEAT = 0.1
 
 
 class Network:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -144,7 +144,7 @@
 
 DAEMONS = 24
 ENGINES = 10
-NEWS_SECONDS = 0.4  # what other groups' loads are late by
+NEWS_SECONDS = 0.2  # what other groups' loads are late by
 READ_RATE = 29_400.0  # prompt tokens a second of one engine, from the users' sheet
 LONG_PAUSE = 0.25  # seconds of reading in 0.3 s: streams there pause for too long
 
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -142,3 +142,54 @@
     assert any(line["event"] == "left_out" for line in lines)
     os.close(reader)
     os.close(writer)
+
+
+def entry(at, event, part="entry", machine="edge-1", request="r1", **fields):
+    return {
+        "at": at,
+        "machine": machine,
+        "part": part,
+        "event": event,
+        "request": request,
+        **fields,
+    }
+
+
+def test_a_failure_that_was_passed_on_names_the_back_ends():
+    records = [
+        entry(1.0, "admitted"),
+        entry(1.1, "failed", "send", back_end="i-1", detail="500"),
+        entry(1.2, "failed", "send", back_end="i-2", detail="500"),
+        entry(1.2, "passed", status=500),
+    ]
+    explanation = explain_request("r1", records)
+    assert explanation.outcome == "the back end's failure 500 was passed on"
+    assert "i-1: 500, i-2: 500" in explanation.cause
+
+
+@pytest.mark.parametrize(
+    "fields, words",
+    [
+        ({"stage": "load", "back_end": "i-1"}, "for i-1 to load the adapter"),
+        ({"stage": "place", "back_end": ""}, "place of its adapter"),
+        ({"stage": "send", "back_end": "i-1", "events": 0}, "i-1 had sent nothing"),
+        ({"stage": "send", "back_end": "i-1", "events": 9}, "i-1 had sent 9 events"),
+        ({}, "no answer had come"),
+    ],
+)
+def test_a_caller_that_left_is_told_what_for_the_request_waited(fields, words):
+    records = [entry(1.0, "admitted"), entry(3.0, "left", waited=1.9, **fields)]
+    explanation = explain_request("r1", records)
+    assert explanation.outcome == "the caller left"
+    assert words in explanation.cause
+
+
+def test_a_request_without_an_end_tells_of_its_daemons_restart():
+    records = [entry(1.0, "admitted"), entry(6.5, "start", "daemon", request="")]
+    assert "started again 5.5 s later" in explain_request("r1", records).cause
+    assert "cut off" in explain_request("r1", records[:1]).cause
+
+
+def test_an_answer_of_5xx_is_the_back_ends_own():
+    records = [entry(1.0, "admitted"), entry(1.1, "answered", "send", detail="500")]
+    assert "back end itself" in explain_request("r1", records).cause
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -100,7 +100,7 @@
     own = state(
         held={"e": [("m", 1, {"a": 1})]}, revisions={"servers": 6}, rates={"e": 10}
     )
-    members = [MemberState("l/1", 1, False, True, True)]
+    members = [MemberState("l/1", 1, False, True, True, 0.0)]
     digest = make_digest("l/1", 1, members, [first, second], own, {"kiln": 9})
     assert digest.loads == {"e": (3, 130, {"m/a": 3, "m/b": 1}), "f": (1, 0, {})}
     assert digest.revisions == {"servers": 7}
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -35,7 +35,7 @@
         play.beat(3.0)
         play.network.sent.clear()
         play.beat(2.0)
-        each = sorted(count / 10 for count in play.network.sent.values())
+        each = sorted(count * BEAT / 2.0 for count in play.network.sent.values())
         # A member speaks to its group, a lead besides to the other leads and its group.
         groups = len(play.daemons[0].peers.other_groups) + 1
         size = max(GROUP_SIZE, total**0.5)
@@ -66,7 +66,7 @@
     for daemon in play.daemons:
         if daemon.machine.name in leads:
             play.turn_off(daemon)
-    for _ in range(25):
+    for _ in range(round(3.0 / BEAT)):
         play.beat(BEAT)
         alive = {daemon.machine.name for daemon in play.running()}
         for daemon in play.running():
