Take peers' grants from buckets as they stand; cheaper links

Cause: a daemon took what a peer granted from a bucket last filled at its own last request, and filled it afterwards: after an idle second the peer's grants were made up for, and the customer's burst was granted once at each daemon. Found by a test of what a lead tells after it was frozen.

Change: the bucket is filled up to now before grants are taken from it. What a peer granted while it was not heard is not taken at its return: it came from its own part of the rate, or its group's next lead has told it.

Ruled out: another codec (encoding is a tenth of a message's cost).

Conclusion: tests/test_shares.py, one test failed before.

--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -198,7 +198,7 @@
     def note_peer_state(self, identity, state, now):
         """Take over loads, grants and residency from a heartbeat."""
         name = identity.partition("/")[0]
-        self.budgets.note_peer(identity, state.spent)
+        self.budgets.note_peer(identity, state.spent, now)
         self._forget_ended(name, state.loads.keys() | state.rates.keys())
         for back_end in self._reported[name]:
             running, tokens, adapters = state.loads.get(back_end, (0, 0, {}))
@@ -213,7 +213,7 @@
         `source` has the form ``name/incarnation``.
         """
         name = source.partition("/")[0]
-        self.budgets.note_peer(source, digest.spent)
+        self.budgets.note_peer(source, digest.spent, now)
         self._forget_ended(name, digest.loads.keys())
         for back_end, load in digest.loads.items():
             adapters = digest.adapters.get(back_end, {}) if digest.is_full else None
--- a/rosemarypath/link.py
+++ b/rosemarypath/link.py
@@ -49,9 +49,14 @@
         self.identity = identity
 
     def put(self, frame):
-        """Queue `frame` for the next batch."""
+        """Queue `frame` for the next batch, which leaves in this turn of the loop."""
         self._frames.append(frame)
-        self._wakened.set()
+        if len(self._frames) > 1:
+            return
+        if self._writer is None or self._writer.is_closing():
+            self._wakened.set()
+        else:
+            asyncio.get_running_loop().call_soon(self._flush)
 
     def expect_answer(self, now):
         """Record that something was sent which the peer is to answer."""
@@ -107,10 +112,17 @@
                 self._frames = []
                 await asyncio.sleep(RECONNECT_SECONDS)
                 continue
-            while self._frames:
-                frames = self._frames[:MAX_BATCH]
-                del self._frames[:MAX_BATCH]
-                self._send(frames)
+            self._flush()
+
+    def _flush(self):
+        """Send what is queued, or have the task dial first."""
+        if self._writer is None or self._writer.is_closing():
+            self._wakened.set()
+            return
+        while self._frames:
+            frames = self._frames[:MAX_BATCH]
+            del self._frames[:MAX_BATCH]
+            self._send(frames)
 
     def _send(self, frames):
         writer = self._writer
@@ -128,6 +140,44 @@
         self._mesh.counts["dropped"] += len(frames)
 
 
+class _Receiver(asyncio.Protocol):
+    """
+    Takes the batches of one accepted connection until it ends.
+
+    ``take(data)`` is called for each; `accepted` holds the open transports.
+    """
+
+    def __init__(self, take, accepted):
+        self._take = take
+        self._accepted = accepted
+        self._transport = None
+        self._received = bytearray()
+
+    def connection_made(self, transport):
+        self._transport = transport
+        self._accepted.add(transport)
+
+    def connection_lost(self, exc):
+        self._accepted.discard(self._transport)
+
+    def data_received(self, data):
+        received = self._received
+        received += data
+        start = 0
+        while len(received) - start >= LENGTH.size:
+            (length,) = LENGTH.unpack_from(received, start)
+            if length > MAX_BATCH_BYTES:
+                _log.warning("a batch of {} bytes is refused", length)
+                self._transport.abort()
+                return
+            end = start + LENGTH.size + length
+            if len(received) < end:
+                break
+            self._take(bytes(received[start + LENGTH.size : end]))
+            start = end
+        del received[:start]
+
+
 class Mesh:
     """
     All links of one daemon.
@@ -161,7 +211,10 @@
     async def start(self):
         """Listen; raises `OSError` when the address cannot be used."""
         host, _, port = self._listen_address.rpartition(":")
-        self._server = await asyncio.start_server(self._receive_all, host, int(port))
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Receiver(self._take, self._accepted), host, int(port)
+        )
 
     async def stop(self):
         """Close all links."""
@@ -173,8 +226,8 @@
         for link in self._links.values():
             link.close()
         self._links.clear()
-        for writer in list(self._accepted):
-            writer.transport.abort()
+        for transport in list(self._accepted):
+            transport.abort()
 
     def mute(self):
         """Ignore whatever arrives from now on, as a frozen daemon does."""
@@ -260,22 +313,6 @@
         if expect_answer:
             link.expect_answer(time.monotonic())
 
-    async def _receive_all(self, reader, writer):
-        """Take the batches of one accepted connection until it ends."""
-        self._accepted.add(writer)
-        try:
-            while True:
-                (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
-                if length > MAX_BATCH_BYTES:
-                    _log.warning("a batch of {} bytes is refused", length)
-                    return
-                self._take(await reader.readexactly(length))
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            return
-        finally:
-            self._accepted.discard(writer)
-            writer.transport.abort()
-
     def _take(self, data):
         self.counts["batches_received"] += 1
         self.counts["bytes_received"] += len(data)
--- a/rosemarypath/shares.py
+++ b/rosemarypath/shares.py
@@ -13,18 +13,32 @@
 __all__ = ["BudgetShares", "RetryShares"]
 
 START_SECONDS = 1.0  # a restart takes longer, and its customers' buckets fill meanwhile
+NEWS_SECONDS = 1.2  # a peer that is silent for longer is not heard; see `Peers`
 RETRY_MARGIN = 0.85  # part of the retry bound that is used
 RETRY_BURST = 0.5  # part of the slack that may be spent at once; the rest flows in
 
 
 @dataclass
 class _Level:
-    """A bucket of tokens as of a time, and what was granted here."""
+    """
+    A bucket of tokens as of a time, and what was granted here.
+
+    It fills with the part `share` of the rate of `budget`.
+    """
 
     tokens: float
     at: float
+    budget: object
+    share: float
     spent: int = 0
 
+    def refill(self, now):
+        """Add what flowed in since the last time."""
+        gained = max(0.0, now - self.at) * self.budget.rate * self.share
+        most = self.budget.burst * self.share
+        self.tokens = min(most, self.tokens + gained)
+        self.at = now
+
 
 class BudgetShares:
     """
@@ -77,16 +91,23 @@
             level.tokens += tokens
             level.spent -= tokens
 
-    def note_peer(self, identity, spent):
-        """Take what the peer ``name/incarnation`` granted since its start."""
+    def note_peer(self, identity, spent, now):
+        """
+        Take what the peer ``name/incarnation`` granted since its start.
+
+        What it granted while it was not heard came from its own part of the rate, or
+        was told by another, and is not taken again.
+        """
         name, _, incarnation = identity.partition("/")
-        known_incarnation, known = self._peer_spent.get(name, ("", {}))
-        self._peer_spent[name] = (incarnation, spent)
-        if known_incarnation != incarnation:
+        known_incarnation, known, at = self._peer_spent.get(name, ("", {}, now))
+        self._peer_spent[name] = (incarnation, spent, now)
+        if known_incarnation != incarnation or now - at > NEWS_SECONDS:
             return
         for name, tokens in spent.items():
             level = self._levels.get(name)
             if level is not None:
+                # What flowed in before must not make up for what was taken just now.
+                level.refill(now)
                 level.tokens -= tokens - known.get(name, 0)
 
     def _refilled(self, customer, share, now):
@@ -94,10 +115,11 @@
         level = self._levels.get(customer.name)
         if level is None:
             start = min(budget.burst, budget.rate * START_SECONDS)
-            level = self._levels[customer.name] = _Level(start * share, now)
-        gained = max(0.0, now - level.at) * budget.rate * share
-        level.tokens = min(budget.burst * share, level.tokens + gained)
-        level.at = now
+            level = _Level(start * share, now, budget, share)
+            self._levels[customer.name] = level
+        level.budget = budget
+        level.share = share
+        level.refill(now)
         return level
 
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -35,7 +35,7 @@
                 for receiver in part_of[sender]:
                     if receiver != sender:
                         spent = shares[sender].spent
-                        shares[receiver].note_peer(f"d{sender}", spent)
+                        shares[receiver].note_peer(f"d{sender}", spent, now)
         daemon = rng.randrange(daemons)
         heard = len(part_of[daemon]) / daemons
         if shares[daemon].take(CUSTOMER, 100, heard, now) == 0.0:
@@ -104,3 +104,20 @@
                 spent[tick] += 1
     worst = max(sum(spent[start : start + 100]) for start in range(100))
     assert worst <= 0.2 * requests / 2 + 56
+
+
+def test_what_a_silent_peer_granted_is_not_taken_from_the_bucket_at_its_return():
+    """A lead that was frozen tells again what its successor has told meanwhile."""
+    share = BudgetShares()
+    share.open([CUSTOMER], 1.0, 0.0)
+    share.note_peer("others by a/1", {"c": 100}, 10.0)
+    share.note_peer("others by a/1", {"c": 9000}, 16.0)
+    assert share.take(CUSTOMER, 900, 1.0, 16.0) == 0.0
+
+
+def test_what_a_heard_peer_granted_is_taken():
+    share = BudgetShares()
+    share.open([CUSTOMER], 1.0, 0.0)
+    share.note_peer("d1/1", {"c": 100}, 10.0)
+    share.note_peer("d1/1", {"c": 1500}, 10.2)
+    assert share.take(CUSTOMER, 900, 1.0, 10.2) > 0.0
