--- /dev/null
+++ b/bench/logvolume.py
@@ -0,0 +1,126 @@
+"""
+bench.logvolume
+~~~~~~~~~~~~~~~
+
+Replays a daemon's decision log at a multiple of its pace, through the daemon's bounds.
+
+    python -m bench.logvolume --pace 10 edge-1.log
+
+prints lines and bytes a second as written, in the busiest second and on average, and
+how many lines were left out.
+"""
+
+import argparse
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+
+from rosemarypath import decisionlog
+from rosemarypath.explaining import read_records
+
+__all__ = ["Volume", "main", "replay"]
+
+OWN_FIELDS = ("at", "machine", "part", "event")
+
+
+@dataclass(frozen=True)
+class Volume:
+    """Lines and bytes that one daemon writes a second, and lines left out in all."""
+
+    machine: str
+    seconds: float
+    lines: int
+    most_lines: int
+    most_bytes: int
+    left_out: int
+
+    def __str__(self):
+        return (
+            f"{self.machine}: {self.lines / self.seconds:.0f} lines a second, "
+            f"{self.most_lines} at most ({self.most_bytes} bytes), "
+            f"{self.left_out} left out of {self.lines + self.left_out}"
+        )
+
+
+class _Sink:
+    """Counts what a `DecisionLog` writes by second, in place of a descriptor."""
+
+    def __init__(self):
+        self.second = 0
+        self.lines = Counter()
+        self.sizes = Counter()
+
+    def write(self, descriptor, data):
+        self.lines[self.second] += data.count(b"\n")
+        self.sizes[self.second] += len(data)
+        return len(data)
+
+
+class _Clock:
+    """The wall clock of the replay."""
+
+    def __init__(self):
+        self.now = 0.0
+
+    def time(self):
+        return self.now
+
+
+class _Os:
+    """The two calls of `os` that a `DecisionLog` makes."""
+
+    def __init__(self, sink):
+        self.write = sink.write
+
+    def set_blocking(self, descriptor, is_blocking):
+        """Accept any descriptor."""
+
+
+def replay(machine, records, pace):
+    """Return the `Volume` of one daemon whose `records` come `pace` times as fast."""
+    records = sorted(records, key=lambda record: record["at"])
+    sink, clock = _Sink(), _Clock()
+    held = decisionlog.os, decisionlog.time
+    decisionlog.os, decisionlog.time = _Os(sink), clock
+    try:
+        log = decisionlog.DecisionLog(machine, -1)
+        start = records[0]["at"]
+        for record in records:
+            clock.now = (record["at"] - start) / pace
+            if int(clock.now) != sink.second:
+                log.flush()
+                sink.second = int(clock.now)
+            fields = {k: v for k, v in record.items() if k not in OWN_FIELDS}
+            log.write(record["part"], record["event"], **fields)
+        log.flush()
+    finally:
+        decisionlog.os, decisionlog.time = held
+    written = sum(sink.lines.values())
+    return Volume(
+        machine,
+        max(1.0, clock.now),
+        written,
+        max(sink.lines.values()),
+        max(sink.sizes.values()),
+        max(0, len(records) - written),
+    )
+
+
+def main(arguments=None):
+    """Print a line for each daemon whose lines stand in the files."""
+    parser = argparse.ArgumentParser(description=__doc__.strip().splitlines()[0])
+    parser.add_argument("--pace", type=float, default=1.0, help="times as fast")
+    parser.add_argument("logs", nargs="+", help="decision logs")
+    options = parser.parse_args(arguments)
+    by_machine = defaultdict(list)
+    for name in options.logs:
+        with open(name, encoding="utf-8", errors="replace") as file:
+            for record in read_records(file)[0]:
+                by_machine[record["machine"]].append(record)
+    volumes = [replay(m, r, options.pace) for m, r in sorted(by_machine.items())]
+    for volume in volumes:
+        print(volume)
+    print(f"most in a second: {max(v.most_lines for v in volumes)} lines")
+
+
+if __name__ == "__main__":
+    main()
--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -32,7 +32,6 @@
 
 __all__ = ["EdgeDaemon"]
 
-HEARTBEAT_SECONDS = 0.1  # loads are as old at others; prompts are read in less
 LINK_SILENCE = 0.8  # seconds without an answer after which a link is dialled anew
 HOUSEKEEPING_SECONDS = 1.0  # between two looks at silent machines and idle connections
 DIRECTORY_TTL = 1  # seconds that callers keep an answer of the directory
@@ -253,7 +252,7 @@
             self._send_states()
             self._copies.choose_watchers(now())
             self._mesh.check_silence(now(), LINK_SILENCE)
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            await asyncio.sleep(self._heartbeats.seconds)
 
     async def _do_housekeeping(self):
         while True:
--- a/rosemarypath/peers.py
+++ b/rosemarypath/peers.py
@@ -13,7 +13,7 @@
 
 __all__ = ["Peer", "Peers"]
 
-SILENT_SECONDS = 1.2  # a dozen heartbeats; a silent daemon is not named to callers
+SILENT_SECONDS = 1.2  # some heartbeats; a silent daemon is not named to callers
 WATCHER_SILENT_SECONDS = 0.7  # some heartbeats; then another one watches
 RELAYED_SECONDS = 1.3  # on top for news by way of two leads, of which one may fail
 WATCHERS = 3  # machines that watch the store; two may fail at once
