Add an emulator in simulated time and a tool that plays choices side by side

Engines, weight store, daemons with late news and callers run on one simulated clock; the choice (`rosemarypath.choice`) and the places (`rosemarypath.places`) are the product's own. Scenarios are YAML: kinds, shifts of demand, bursts, crashes.

Ruled out: growing standins/batch.py, which runs in real time beside HTTP.

Conclusion: good for comparing choices and placing; not for budgets or holders.

--- /dev/null
+++ b/tests/test_simulation.py
@@ -0,0 +1,188 @@
+"""
+tests.test_simulation
+~~~~~~~~~~~~~~~~~~~~~
+
+The emulator in simulated time, and the tool that plays policies side by side.
+"""
+
+import json
+
+import pytest
+
+from bench.simulate import figures_of, main
+from bench.simulation.engine import SimulatedEngine, Stream
+from bench.simulation.scenario import (
+    Crash,
+    EngineModel,
+    Kind,
+    Scenario,
+    ScenarioError,
+    Shift,
+    load_scenario,
+)
+from bench.simulation.world import World
+
+MODEL = EngineModel(slots=4, kv_tokens=4000, adapter_places=2, chunk=500)
+
+
+class Clock:
+    """Runs functions in the order of their times."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.waiting = []
+
+    def call_at(self, at, function):
+        self.waiting.append((at, len(self.waiting), function))
+
+    def run(self):
+        while self.waiting:
+            entry = min(self.waiting)
+            self.waiting.remove(entry)
+            self.now = entry[0]
+            entry[2]()
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def engine(clock):
+    return SimulatedEngine("e", MODEL, clock.call_at)
+
+
+def stream(ended, prompt=100, output=14, adapter=""):
+    return Stream(
+        adapter,
+        prompt,
+        output,
+        lambda now: None,
+        lambda now, is_whole: ended.append((now, is_whole)),
+    )
+
+
+def test_an_engine_makes_all_events_after_it_read_the_prompt(clock, engine):
+    ended = []
+    one = stream(ended)
+    assert engine.take(one, 0.0)
+    clock.run()
+    assert [is_whole for _, is_whole in ended] == [True]
+    assert len(one.events) == 2
+    # One step reads the prompt, seven more make the first event.
+    reading = 100 / MODEL.tokens_per_second
+    assert one.events[0] == pytest.approx(8 * MODEL.step + reading, rel=0.05)
+
+
+def test_a_long_prompt_holds_up_the_streams_beside_it(clock, engine):
+    ended = []
+    one = stream(ended, output=70)
+    engine.take(one, 0.0)
+    clock.call_at(0.06, lambda: engine.take(stream(ended, prompt=3500), clock.now))
+    clock.run()
+    gaps = [b - a for a, b in zip(one.events, one.events[1:])]
+    assert max(gaps) > 2 * min(gaps)
+    held_up = sum(gap - min(gaps) for gap in gaps)
+    assert held_up == pytest.approx(3500 / MODEL.tokens_per_second, rel=0.1)
+
+
+def test_requests_beyond_memory_wait_or_start_again(clock, engine):
+    ended = []
+    for _ in range(4):
+        engine.take(stream(ended, prompt=900, output=400), 0.0)
+    clock.run()
+    assert [is_whole for _, is_whole in ended] == [True] * 4
+    assert engine.preempted > 0
+
+
+def test_a_crash_ends_streams_and_empties_the_engine(clock, engine):
+    ended = []
+    engine.places.held["a"] = 1
+    engine.take(stream(ended, adapter="a", output=700), 0.0)
+    clock.call_at(0.1, lambda: engine.crash(clock.now))
+    clock.run()
+    assert [is_whole for _, is_whole in ended] == [False]
+    assert not engine.take(stream(ended, adapter="a"), 1.0)
+    engine.come_back()
+    assert not engine.take(stream(ended, adapter="a"), 1.0), "it holds nothing"
+    assert engine.take(stream(ended), 1.0)
+
+
+def scenario(**changes):
+    settings = {
+        "name": "small",
+        "seconds": 12.0,
+        "daemons": 12,
+        "engines": 8,
+        "news_seconds": 0.2,
+        "adapters": 200,
+        "kinds": [Kind(name="ask", rate=40.0, prompt=800, output=150)],
+        **changes,
+    }
+    return Scenario(**settings)
+
+
+def play(plan, policy, seed=1):
+    world = World(plan, policy, seed)
+    world.run()
+    return figures_of(world, policy, seed, plan.kinds)
+
+
+def test_a_run_repeats_with_its_seed():
+    assert play(scenario(), "current") == play(scenario(), "current")
+    assert play(scenario(), "current") != play(scenario(), "current", seed=2)
+
+
+def test_each_request_has_one_outcome():
+    figures = play(scenario(), "current")
+    parts = figures.in_time + figures.late_first + figures.paused + figures.unserved
+    assert parts == pytest.approx(1.0)
+    assert 380 < figures.requests < 580
+
+
+def test_demand_that_moves_to_few_adapters_is_served_better_than_by_the_baseline():
+    """A third of all requests turn to one adapter that no engine holds."""
+    plan = scenario(shifts=[Shift(at=2.0, seconds=6.0, share=0.35)])
+    chosen = [play(plan, "current", seed).in_time for seed in (1, 2, 3)]
+    for baseline in ("least_running", "one_home"):
+        others = [play(plan, baseline, seed).in_time for seed in (1, 2, 3)]
+        assert sum(chosen) > sum(others)
+    assert sum(chosen) / 3 > 0.95
+
+
+def test_requests_cut_before_their_first_event_go_elsewhere():
+    plan = scenario(crashes=[Crash(at=4.0, seconds=3.0, count=2)])
+    figures = play(plan, "current")
+    assert figures.unserved < 0.08
+
+
+@pytest.mark.parametrize(
+    "text", ["", "name: x", "name: x\nkinds: []\ntypo: 1", "name: [", "kinds: 3"]
+)
+def test_a_wrong_scenario_is_refused(tmp_path, text):
+    path = tmp_path / "wrong.yaml"
+    path.write_text(text)
+    with pytest.raises(ScenarioError) as problem:
+        load_scenario(path)
+    assert "wrong.yaml" in str(problem.value)
+
+
+def test_the_tool_writes_table_figures_and_plot(tmp_path, capsys):
+    path = tmp_path / "s.yaml"
+    path.write_text(
+        "name: s\nseconds: 3\nkinds: [{name: a, rate: 10, prompt: 300, output: 50}]\n"
+    )
+    found, drawn = tmp_path / "f.json", tmp_path / "p.svg"
+    arguments = [str(path), "--seeds", "1", "2"]
+    assert main([*arguments, "--json", str(found), "--plot", str(drawn)]) == 0
+    assert "least_running" in capsys.readouterr().out
+    assert len(json.loads(found.read_text())) == 4
+    assert "<rect" in drawn.read_text()
+
+
+def test_the_tool_names_what_is_wrong(tmp_path, capsys):
+    assert main([str(tmp_path / "none.yaml")]) == 2
+    assert "none.yaml" in capsys.readouterr().err
+    assert main(["x.yaml", "--policies", "guess"]) == 2
+    assert "guess" in capsys.readouterr().err
