--- a/rosemarypath/choice.py
+++ b/rosemarypath/choice.py
@@ -24,6 +24,7 @@
     1.2  # what reading prompts all the time beyond that costs: a late stream
 )
 LOAD_SECONDS = 0.3  # an adapter's load with its order, from the users' sheet
+DOUBT_SECONDS = 1.0  # what waiting for an engine that just failed to load costs
 HOME_STEP = 0.02  # seconds of difference that keep an adapter at its home
 RUNNING_SECONDS = 0.002  # what one more running request costs a new one
 QUEUE_SECONDS = 0.05  # what each request beyond the slots costs a new one
@@ -97,6 +98,8 @@
         Names of back ends that may not get this request.
     `unloadable`
         Names of engines where nobody can load an adapter now.
+    `doubtful`
+        Names of engines where a load just failed.
     `cold_sends`
         Requests a second that this daemon may send to a cold back end.
     """
@@ -106,6 +109,7 @@
     version_age: float = 0.0
     excluded: frozenset = frozenset()
     unloadable: frozenset = frozenset()
+    doubtful: frozenset = frozenset()
     cold_sends: float = 1.0
 
 
@@ -149,6 +153,7 @@
     reading = state.prompt_rate(now) / PREFILL_TOKENS_PER_SECOND
     cost += max(0.0, reading - CALM_SHARE) * PAUSE_SECONDS
     if not is_held:
+        cost += DOUBT_SECONDS * (state.name in facts.doubtful)
         return cost + LOAD_SECONDS + HOME_STEP * rank
     cost += JITTER_SECONDS * random.random()
     if state.adapters.get(demand.held_name, 0) < facts.version:
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -18,6 +18,8 @@
 ASK_MARGIN = 0.05  # seconds that an answer between two daemons may take
 FRESH_SECONDS = 2.0  # a daemon's start is over after that
 LEAST_RATE = 50  # prompt tokens a second; a prompt of half a thousand after 2 s
+DOUBT_SECONDS = 1.0  # an engine that failed to load for a reason of its own counts less
+DOUBTFUL = frozenset({"load_timeout", "engine_silent", "holder_silent"})
 UNKNOWN_VERSION = (0, float("-inf"))
 
 
@@ -43,6 +45,7 @@
         self._log = log
         self._versions = {}
         self._reported = {}
+        self._load_failed_at = {}
         self.zone = settings.zone
         self.table = None
         self.refuses_new = False
@@ -134,8 +137,24 @@
                 names.add(state.name)
         return frozenset(names)
 
+    def doubtful(self, now):
+        """Return the engines where a load failed lately, by its or a holder's fault."""
+        return frozenset(
+            name
+            for name, at in self._load_failed_at.items()
+            if now - at < DOUBT_SECONDS
+        )
+
     async def ensure(self, state, model, adapter, seconds):
         """Have an adapter loaded; return a `LoadOutcome`."""
+        outcome = await self._ensure(state, model, adapter, seconds)
+        if outcome.is_held:
+            self._load_failed_at.pop(state.name, None)
+        elif outcome.reason in DOUBTFUL:
+            self._load_failed_at[state.name] = clock.now()
+        return outcome
+
+    async def _ensure(self, state, model, adapter, seconds):
         keeper = self.keepers.get(state.name)
         if keeper is not None:
             return await keeper.ensure(model, adapter, seconds)
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -17,6 +17,7 @@
 MOST_SENDS = 6  # sends of one request, rejected ones included
 RESEND_PAUSE = 0.02  # seconds before a back end that rejected a request is asked again
 LOAD_WAIT_SHARE = 0.6  # part of the time left that a request waits for a load
+LOAD_WAIT_MOST = 1.5  # seconds; some loads from a busy store, then another engine
 LOAD_WAIT_LEAST = 0.05  # seconds; a load from an engine's own memory takes as long
 PLACE_WAIT = 1.0  # seconds; streams that end free places of adapters by then
 PLACE_PAUSE = 0.1  # seconds between two looks for a place
@@ -151,6 +152,7 @@
             version_age=at - learned_at,
             excluded=self._excluded(context),
             unloadable=self._fleet.unloadable(states, at) | context.unloadable,
+            doubtful=self._fleet.doubtful(at),
             cold_sends=self._fleet.cold_sends(context.service, at),
         )
         return choose_back_end(states, demand, facts, at)
@@ -165,7 +167,7 @@
 
     async def _load(self, context, state):
         demand = context.demand
-        seconds = context.left(now()) * LOAD_WAIT_SHARE
+        seconds = min(LOAD_WAIT_MOST, context.left(now()) * LOAD_WAIT_SHARE)
         started = now()
         outcome = await self._fleet.ensure(
             state, demand.model, demand.adapter, max(LOAD_WAIT_LEAST, seconds)
--- a/rosemarypath/loading.py
+++ b/rosemarypath/loading.py
@@ -20,6 +20,8 @@
 LOAD_LOST_SECONDS = 3.0  # a load that takes longer is looked up in a report
 HOUSEKEEPING_SECONDS = 0.5  # between two looks at versions and missing models
 REFRESH_PAUSE = 0.4  # seconds; reports lag by half as much
+SILENT_ORDERS = 2  # orders without an answer in a row, after which an engine is silent
+SILENT_SECONDS = 1.0  # since the last of them; its checks go on and end it sooner
 RECENT_SECONDS = 8.0  # an adapter used since is brought to its newest version
 
 
@@ -81,6 +83,8 @@
         self._places = Places(0)
         self._models = {}
         self._model_ordered_at = float("-inf")
+        self._unanswered = 0
+        self._unanswered_at = float("-inf")
         self._ordered_at = ordered_at
         self._born = state.entry.born
         self.state = state
@@ -100,11 +104,18 @@
         """Return whether the engine's state was read since this daemon holds it."""
         return self._orders is not None
 
+    def is_silent(self, now):
+        """Return whether the engine leaves orders unanswered, so that none may wait."""
+        is_lately = now - self._unanswered_at < SILENT_SECONDS
+        return self._unanswered >= SILENT_ORDERS and is_lately
+
     async def ensure(self, model, adapter, seconds):
         """Wait up to `seconds` until the adapter is held; return a `LoadOutcome`."""
         name = f"{model}/{adapter}"
         if self._is_current(name):
             return LoadOutcome(True)
+        if self.is_silent(now()):
+            return LoadOutcome(False, "engine_silent")
         future = asyncio.get_running_loop().create_future()
         wanted = self._wanted.get(name)
         if wanted is None:
@@ -305,6 +316,9 @@
             self._checks[name] = now() + FIRST_CHECK_SECONDS
             if self._places.start(name, now()):
                 self._tell_state()
+        elif result.is_conflict:
+            # Its count of orders moved on; those that wait are served after a report.
+            self._orders = None
         else:
             self._resolve(name, LoadOutcome(False, f"order_{result.status}"))
             self._orders = None
@@ -354,8 +368,19 @@
             model, _, adapter = name.partition("/")
             await self._load(model, adapter, fence)
 
+    def _note_answer(self, is_known):
+        """Count orders without an answer; let nobody wait for a silent engine."""
+        if is_known:
+            self._unanswered = 0
+            return
+        self._unanswered += 1
+        self._unanswered_at = now()
+        if self.is_silent(now()):
+            self._fail_all("engine_silent")
+
     def _note_order(self, verb, name, result):
         self._ordered_at = now()
+        self._note_answer(result.is_known)
         has_counted = result.is_accepted and verb in ("load", "unload")
         has_counted = has_counted or (verb == "unload" and result.holds_already)
         if has_counted and self._orders is not None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -142,6 +142,15 @@
     assert most <= max(24, 2.0 * rate * 2.0 / 6)
 
 
+def test_an_engine_that_just_failed_to_load_is_not_waited_for_by_the_next():
+    states = [engine(name) for name in "abc"]
+    home = choose_back_end(states, demand("x"), FACTS, 0.0).state.name
+    facts = ChoiceFacts(zone="z1", doubtful=frozenset({home}))
+    assert choose_back_end(states, demand("x"), facts, 0.0).state.name != home
+    facts = ChoiceFacts(zone="z1", doubtful=frozenset("abc"))
+    assert isinstance(choose_back_end(states, demand("x"), facts, 0.0), Choice)
+
+
 DAEMONS = 24
 ENGINES = 10
 NEWS_SECONDS = 0.2  # what other groups' loads are late by
--- a/tests/test_loading.py
+++ b/tests/test_loading.py
@@ -42,6 +42,10 @@
         self.runs = {}
         self.newest = {}
 
+    def lose(self, share):
+        """Leave this share of orders without an answer from now on."""
+        self._lost_share = share
+
     async def load(self, back_end, model, adapter, fence, expected):
         return await self._order(self._load, adapter, expected)
 
@@ -205,3 +209,34 @@
         return sum(outcome.is_held for outcome in outcomes)
 
     assert run_with(engine, scenario) > 0
+
+
+def test_nobody_waits_for_an_engine_that_answers_no_order():
+    """A cut hides one engine from its holder; others can load the adapter at once."""
+    engine = MemoryEngine(lost_share=1.0)
+
+    async def scenario(keeper):
+        loop = asyncio.get_running_loop()
+        asking = [asyncio.create_task(keeper.ensure("m", name, 2.4)) for name in "abcd"]
+        outcomes = await asyncio.gather(*asking)
+        started = loop.time()
+        late = await keeper.ensure("m", "e", 2.4)
+        return outcomes, late, loop.time() - started
+
+    outcomes, late, waited = run_with(engine, scenario)
+    assert not any(outcome.is_held for outcome in outcomes)
+    assert late.reason == "engine_silent"
+    assert waited < 0.05
+
+
+def test_an_engine_that_answers_again_is_used_at_once():
+    engine = MemoryEngine(lost_share=1.0)
+
+    async def scenario(keeper):
+        await keeper.ensure("m", "a", 2.4)
+        await keeper.ensure("m", "b", 2.4)
+        engine.lose(0.0)
+        await asyncio.sleep(1.2)
+        return await keeper.ensure("m", "c", 1.5)
+
+    assert run_with(engine, scenario).is_held
