--- /dev/null
+++ b/bench/groupcosts.py
@@ -0,0 +1,114 @@
+"""
+bench.groupcosts
+~~~~~~~~~~~~~~~~
+
+What daemons send each other, and what it takes, against the size of the fleet.
+
+    python -m bench.groupcosts 61 160 450
+"""
+
+import argparse
+import time
+from dataclasses import dataclass
+
+import msgspec
+
+from rosemarypath.messages import Batch, Frame
+from standins.simulatedfleet import Play
+
+__all__ = ["Costs", "main", "measure"]
+
+SETTLE_SECONDS = 3.0  # until leads are found
+SECONDS = 4.0
+ENGINES_PER_MACHINE = 0.5  # about the users' grown deployments
+FRAMING_BYTES = 4 + 66  # length, and headers of Ethernet, IP and TCP
+IDENTITY = "edge-anjar-east-{:03}/0123abcd"
+
+
+class _Patch:
+    """Sets attributes for good, as a bench runs alone."""
+
+    setattr = staticmethod(setattr)
+
+
+@dataclass(frozen=True)
+class Costs:
+    """
+    Per daemon and second: messages and bytes sent by a member and by a busy lead.
+
+    `microseconds` is the processor time of all of a daemon's heartbeats, without the
+    links.
+    """
+
+    machines: int
+    messages: float
+    lead_messages: float
+    kilobytes: float
+    lead_kilobytes: float
+    microseconds: float
+
+    def __str__(self):
+        return (
+            f"{self.machines:>5} machines: a member {self.messages:.0f} messages and "
+            f"{self.kilobytes:.1f} KB a second, a lead {self.lead_messages:.0f} and "
+            f"{self.lead_kilobytes:.1f}; {self.microseconds / 1e4:.2f} % of a core"
+        )
+
+
+def measure(machines):
+    """Return the `Costs` in a fleet of so many machines."""
+    play = Play(machines, _Patch)
+    _load(play, max(1, round(machines * ENGINES_PER_MACHINE)))
+    play.beat(SETTLE_SECONDS)
+    started = time.process_time()
+    play.beat(SECONDS)
+    spent = time.process_time() - started
+    play.network.sent.clear()
+    play.network.measure = _Sizes().measure
+    play.beat(SECONDS)
+    counts = sorted(play.network.sent.values())
+    sizes = sorted(play.network.sizes.values())
+    return Costs(
+        machines,
+        counts[len(counts) // 2] / SECONDS,
+        counts[-1] / SECONDS,
+        sizes[len(sizes) // 2] / SECONDS / 1e3,
+        sizes[-1] / SECONDS / 1e3,
+        spent / SECONDS / machines * 1e6,
+    )
+
+
+def _load(play, engines):
+    """Give each daemon requests at three engines, and sends lately to twice as many."""
+    names = [f"i-{number:010x}" for number in range(engines)]
+    for number, daemon in enumerate(play.daemons):
+        own = [names[(number * 7 + k) % engines] for k in range(6)]
+        loads = {name: (2, 300, {"model/a1234": 2}) for name in own[:3]}
+        rates = {name: 800 for name in own}
+        daemon.fleet.own_loads = lambda loads=loads: loads
+        daemon.fleet.own_rates = lambda now, rates=rates: rates
+        daemon.copies.revisions = {f"rosemarypath-kind-{n}": 123456 for n in range(7)}
+
+
+class _Sizes:
+    """Encodes messages as links do."""
+
+    def __init__(self):
+        self._encoder = msgspec.msgpack.Encoder()
+
+    def measure(self, sender, receiver, message):
+        address = "10.200.100.100:65535"
+        batch = Batch(IDENTITY, address, IDENTITY, [Frame(0, 0, message)])
+        return len(self._encoder.encode(batch)) + FRAMING_BYTES
+
+
+def main(arguments=None):
+    """Print a line for each size."""
+    parser = argparse.ArgumentParser(description=__doc__.strip().splitlines()[0])
+    parser.add_argument("machines", type=int, nargs="*", default=[61, 160, 450])
+    for machines in parser.parse_args(arguments).machines:
+        print(measure(machines))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/simulatedfleet.py
+++ b/standins/simulatedfleet.py
@@ -1,6 +1,6 @@
 """
-tests.simulatedfleet
-~~~~~~~~~~~~~~~~~~~~
+standins.simulatedfleet
+~~~~~~~~~~~~~~~~~~~~~~~
 
 Many daemons that exchange states in simulated time, over links that can be cut.
 """
@@ -23,7 +23,8 @@
     """
     Delivers messages at once, except to and from machines that are off.
 
-    What is sent to a frozen machine is delivered when it runs again.
+    What is sent to a frozen machine is delivered when it runs again. ``measure(sender,
+    receiver, message)`` returns the bytes of a message, which `sizes` adds up.
     """
 
     def __init__(self):
@@ -32,9 +33,13 @@
         self.frozen = set()
         self._kept = {}
         self.sent = Counter()
+        self.measure = None
+        self.sizes = Counter()
 
     def deliver(self, sender, receiver, message):
         self.sent[sender] += 1
+        if self.measure is not None:
+            self.sizes[sender] += self.measure(sender, receiver, message)
         if {sender, receiver} & self.off or receiver not in self.meshes:
             return None
         if receiver in self.frozen:
@@ -126,12 +131,16 @@
 
 
 class Play:
-    """A fleet over four zones; `total` daemons that know each other from the start."""
+    """
+    A fleet over four zones; `total` daemons that know each other from the start.
+
+    `patch` has pytest's ``setattr(module, name, value)`` to set the clocks.
+    """
 
-    def __init__(self, total, monkeypatch):
+    def __init__(self, total, patch):
         self.now = 0.0
-        monkeypatch.setattr(heartbeats, "now", lambda: self.now)
-        monkeypatch.setattr(heartbeats, "lease_now", lambda: self.now)
+        patch.setattr(heartbeats, "now", lambda: self.now)
+        patch.setattr(heartbeats, "lease_now", lambda: self.now)
         self.network = Network()
         machines = [
             Machine(
--- a/tests/test_confirming.py
+++ b/tests/test_confirming.py
@@ -18,7 +18,7 @@
 from rosemarypath.holding import HOLDER_KIND, Holdings
 from rosemarypath.messages import FreshnessAsk, FreshnessReply
 from rosemarypath.mirror import Mirror
-from tests.simulatedfleet import BEAT, Play
+from standins.simulatedfleet import BEAT, Play
 from tests.test_holding import LEASE, MemoryStore
 
 TOTAL = 16
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -10,7 +10,7 @@
 from rosemarypath.groups import GROUP_SIZE
 from rosemarypath.messages import LeasePing
 from rosemarypath.peers import RELAYED_SECONDS, SILENT_SECONDS
-from tests.simulatedfleet import BEAT, Play
+from standins.simulatedfleet import BEAT, Play
 
 
 @pytest.fixture
