Test removal from the register, SIGHUP, doubtful engines

No code of the product changes.

Conclusion: five tests of the register, one of SIGHUP, three of the fleet's view.

--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -6,9 +6,13 @@
 """
 
 import asyncio
+import dataclasses
 
 import msgspec
 
+from rosemarypath.edge import EdgeDaemon
+from rosemarypath.errors import SettingsError
+from rosemarypath.platform.dialect import PlatformDialect
 from tests.edgefleet import configuration, running_fleet
 
 
@@ -212,3 +216,45 @@
             assert reply.status == 200
 
     play(scenario, daemons=5)
+
+
+class RecordingLog:
+    """Keeps a daemon's log lines as (part, event, fields)."""
+
+    def __init__(self):
+        self.lines = []
+
+    def write(self, part, event, **fields):
+        self.lines.append((part, event, fields))
+
+    def flush(self):
+        """Take the place of `DecisionLog.flush`."""
+
+
+class ChangingDialect(PlatformDialect):
+    """Reads `settings` in place of the file; raises `problem` if there is one."""
+
+    settings = None
+    problem = None
+
+    def read_settings(self):
+        if self.problem is not None:
+            raise self.problem
+        return self.settings
+
+
+def test_sighup_tells_what_changed_and_a_bad_file_changes_nothing():
+    async def scenario(fleet):
+        dialect, log = ChangingDialect(), RecordingLog()
+        daemon = EdgeDaemon(fleet.settings[0], dialect, log)
+        dialect.settings = dataclasses.replace(fleet.settings[0], lease=9.5)
+        daemon.reload()
+        assert log.lines[-1] == ("daemon", "reload", {"changed": ["lease"]})
+        dialect.problem = SettingsError("cannot be read", "mend it")
+        daemon.reload()
+        assert log.lines[-1][1] == "error"
+        dialect.problem = None
+        daemon.reload()
+        assert log.lines[-1] == ("daemon", "reload", {"changed": []})
+
+    play(scenario, daemons=1)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import time
 
 import pytest
@@ -85,3 +86,45 @@
     mesh = Mesh([LoadReply(False, "no_place")])
     outcome = asyncio.run(view(mesh).ensure(engine("e"), "m", "a", 8.0))
     assert (outcome.is_held, outcome.reason, mesh.asked) == (False, "no_place", 1)
+
+
+def test_new_bounds_hold_at_once(view):
+    fleet = view(Mesh([]))
+    settings = EdgeSettings(
+        machine="own",
+        zone="z",
+        region="r",
+        callers_address="a",
+        readiness_address="a",
+        directory_address="a",
+        peers_address="p",
+        store_address="s",
+        lease=7.5,
+        retry_slack=400.0,
+    )
+    fleet.set_bounds(settings)
+    assert fleet.holdings.lease == 7.5
+    many = sum(fleet.spend_retry("s", 0.0) for _ in range(500))
+    fleet.set_bounds(dataclasses.replace(settings, retry_slack=20.0))
+    few = sum(fleet.spend_retry("s", 0.0) for _ in range(500))
+    assert few < many / 4
+
+
+def test_a_load_that_failed_makes_its_engine_doubtful_for_a_while(view):
+    mesh = Mesh([LoadReply(False, "engine_silent")])
+    fleet = view(mesh)
+    state = engine("e")
+
+    async def run():
+        await fleet.ensure(state, "m", "a", 0.3)
+        return fleet.doubtful(time.monotonic()), fleet.doubtful(time.monotonic() + 9.0)
+
+    at_once, later = asyncio.run(run())
+    assert at_once == {"e"}
+    assert later == frozenset()
+
+
+def test_a_lack_of_places_is_no_fault_of_the_engine(view):
+    fleet = view(Mesh([LoadReply(False, "no_place")]))
+    asyncio.run(fleet.ensure(engine("e"), "m", "a", 0.3))
+    assert fleet.doubtful(time.monotonic()) == frozenset()
--- /dev/null
+++ b/tests/test_registration.py
@@ -0,0 +1,116 @@
+"""
+tests.test_registration
+~~~~~~~~~~~~~~~~~~~~~~~
+
+The register of machines: who is removed from it, when and by whom.
+"""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from rosemarypath import registration
+from rosemarypath.errors import ConflictError
+from rosemarypath.hashing import rendezvous_order
+from rosemarypath.machine import Machine
+from rosemarypath.mirror import Mirror
+from rosemarypath.peers import Peers
+from rosemarypath.registration import FORGET_SECONDS, MACHINE_KIND, Registration
+from rosemarypath.stored import StoredObject
+
+NAMES = ["a", "b", "c"]
+
+
+def machine(name):
+    return Machine(
+        name=name, incarnation="1", zone="z", callers_address="c:1", peers_address="p:1"
+    )
+
+
+class FakeStore:
+    """Notes what is deleted; `problem` is raised in place of that."""
+
+    def __init__(self):
+        self.deleted = []
+        self.problem = None
+
+    async def delete(self, kind, name, version):
+        if self.problem is not None:
+            raise self.problem
+        self.deleted.append((kind, name, version))
+
+
+class Register:
+    """One daemon's part in the register, seen from `own`, with a clock to set."""
+
+    def __init__(self, own, monkeypatch):
+        self.now = 0.0
+        monkeypatch.setattr(registration, "now", lambda: self.now)
+        self.store = FakeStore()
+        self.lines = []
+        self.peers = Peers(machine(own), 0.0, 0.0)
+        self.peers.set_machines([machine(name) for name in NAMES], 0.0, 0.0)
+        mirror = Mirror(MACHINE_KIND, lambda changed, removed: None)
+        mirror.replace([StoredObject(name, 5, {}) for name in NAMES], 9)
+        copies = SimpleNamespace(add=lambda kind, on_change: mirror)
+        log = SimpleNamespace(
+            write=lambda part, event, **fields: self.lines.append((event, fields))
+        )
+        self.registration = Registration(
+            machine(own), self.store, copies, self.peers, None, log
+        )
+
+    def hear(self, name):
+        self.peers.by_name[name].heard_at = self.now
+
+    def remove_silent(self, at):
+        self.now = at
+        asyncio.run(self.registration.remove_silent())
+
+
+@pytest.fixture
+def first_for_c(monkeypatch):
+    """Return the register of the daemon that removes ``c`` when it is gone."""
+    own = rendezvous_order("c", ["a", "b"])[0]
+    register = Register(own, monkeypatch)
+    register.other = "b" if own == "a" else "a"
+    return register
+
+
+def test_a_machine_that_is_silent_for_long_is_removed_at_its_version(first_for_c):
+    first_for_c.now = FORGET_SECONDS + 1.0
+    first_for_c.hear(first_for_c.other)
+    first_for_c.remove_silent(FORGET_SECONDS + 1.0)
+    assert first_for_c.store.deleted == [(MACHINE_KIND, "c", 5)]
+    assert first_for_c.lines[-1][0] == "removed"
+
+
+def test_a_restart_takes_less_long_than_that(first_for_c):
+    first_for_c.now = 8.0
+    first_for_c.hear("c")
+    first_for_c.hear(first_for_c.other)
+    first_for_c.remove_silent(8.0 + FORGET_SECONDS - 0.5)
+    assert first_for_c.store.deleted == []
+
+
+def test_a_daemon_that_just_started_removes_nobody(first_for_c):
+    first_for_c.remove_silent(FORGET_SECONDS - 1.0)
+    assert first_for_c.store.deleted == []
+
+
+def test_only_the_first_of_those_heard_removes(monkeypatch):
+    own = rendezvous_order("c", ["a", "b"])[1]
+    register = Register(own, monkeypatch)
+    register.now = FORGET_SECONDS + 1.0
+    register.hear("b" if own == "a" else "a")
+    register.remove_silent(FORGET_SECONDS + 1.0)
+    assert register.store.deleted == []
+
+
+def test_an_entry_that_changed_meanwhile_stays_and_is_told(first_for_c):
+    first_for_c.store.problem = ConflictError("changed", "read again")
+    first_for_c.now = FORGET_SECONDS + 1.0
+    first_for_c.hear(first_for_c.other)
+    first_for_c.remove_silent(FORGET_SECONDS + 1.0)
+    assert first_for_c.lines[-1] == ("lost", {"name": "c", "why": "changed"})
