Say in a digest that holdings are unchanged, so that old ones are not told on

Cause: an empty `held` in a group's digest stood for "unchanged". When the only holder of a group lost its engine, the other leads went on telling what it had held, as if it had been reported just now, beside what its successor told. Found by reading the code; tests/test_heartbeats.py failed before (a holder that moves to another group).

Ruled out: small fleets, which have no digests.

Conclusion: the flag that heartbeats have.

--- a/rosemarypath/heartbeats.py
+++ b/rosemarypath/heartbeats.py
@@ -150,7 +150,8 @@
     def _digest(self, what, total, members, spent):
         """Return the digest of `total`, in full at each few beats."""
         is_full = self._beats % FULL_BEATS == 0
-        is_told = total.held == self._told_held.get(what) and self._beats % HELD_BEATS
+        is_same = total.held == self._told_held.get(what)
+        is_known = is_same and self._beats % HELD_BEATS != 0
         self._told_held[what] = total.held
         return GroupDigest(
             self._peers.own.identity,
@@ -158,7 +159,8 @@
             is_full,
             spent,
             total.loads,
-            {} if is_told else total.held,
+            {} if is_known else total.held,
+            is_known,
             members if is_full else [],
             total.revisions if is_full else {},
             total.adapters if is_full else {},
@@ -234,7 +236,7 @@
         return digest
     known_at, before = known
     changes = {}
-    if not digest.held:
+    if digest.is_held_known:
         changes["held"] = before.held
     if not digest.is_full:
         changes["members"] = [_older(m, at - known_at) for m in before.members]
--- a/rosemarypath/messages.py
+++ b/rosemarypath/messages.py
@@ -336,8 +336,8 @@
     `lead` is the ``name/incarnation`` of the daemon that made it; from the lead of the
     receiver's own group it tells of all other groups. `spent` is what they granted
     since that lead first heard them, `loads` maps back ends to running requests,
-    prompt tokens not yet read and prompt tokens a second. `held` is as in `PeerState`,
-    empty when unchanged. Only with `is_full` it has the `members`, the highest
+    prompt tokens not yet read and prompt tokens a second. `held` and `is_held_known`
+    are as in `PeerState`. Only with `is_full` it has the `members`, the highest
     `revisions` and the running requests by back end and adapter.
     """
 
@@ -347,6 +347,7 @@
     spent: dict[str, int]
     loads: dict[str, tuple[int, int, int]]
     held: dict[str, list[tuple[str, int, dict[str, int]]]]
+    is_held_known: bool
     members: list[MemberState] = []
     revisions: dict[str, int] = {}
     adapters: dict[str, dict[str, int]] = {}
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -106,7 +106,7 @@
 
 def test_sums_of_groups_add_up():
     part = GroupDigest(
-        "l/1", 1, True, {}, {"e": (1, 2, 3)}, {}, [], {}, {"e": {"a": 1}}
+        "l/1", 1, True, {}, {"e": (1, 2, 3)}, {}, False, [], {}, {"e": {"a": 1}}
     )
     total = GroupSum()
     total.add_digest(part)
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -131,3 +131,24 @@
         play.network.deliver(daemon.machine.identity, peer.machine.identity, message)
     assert daemon.peers.all_acknowledged("rosemarypath-holders", 5, play.now)
     assert not daemon.peers.all_acknowledged("rosemarypath-holders", 4, play.now)
+
+
+def test_what_a_former_holder_told_is_not_told_on(play_of):
+    play = play_of(40)
+    play.beat(3.0)
+    before, after = play.daemons[7], play.daemons[12]
+    assert before.machine.zone != after.machine.zone
+    before.fleet.held = {"engine": [("m", 1, {"old": 1})]}
+    play.beat(2.0)
+    before.fleet.held = {}
+    after.fleet.held = {"engine": [("m", 1, {"new": 1})]}
+    play.beat(2.0)
+    for daemon in play.daemons:
+        daemon.fleet.heard_held.clear()
+    for _ in range(round(3.0 / BEAT)):
+        play.beat(BEAT)
+        for daemon in play.daemons:
+            assert daemon.fleet.heard_held.get("engine") in (
+                None,
+                after.fleet.held["engine"],
+            )
