Beat every 0.1 s in small fleets

Ruled out: the limits on waiting for loads.

Conclusion: 0.1 s for fleets of one group, 0.2 s for others.

--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -18,7 +18,7 @@
 from rosemarypath.errors import SettingsError
 from rosemarypath.fleet import FleetView
 from rosemarypath.forwarding import Forwarder
-from rosemarypath.heartbeats import BEAT_SECONDS, Heartbeats
+from rosemarypath.heartbeats import Heartbeats
 from rosemarypath.holding import HOLDER_KIND, Holdings
 from rosemarypath.httpclient import ConnectionPool
 from rosemarypath.link import Mesh
@@ -252,7 +252,7 @@
             self._send_states()
             self._copies.choose_watchers(now())
             self._mesh.check_silence(now(), LINK_SILENCE)
-            await asyncio.sleep(BEAT_SECONDS)
+            await asyncio.sleep(self._heartbeats.seconds)
 
     async def _do_housekeeping(self):
         while True:
--- a/rosemarypath/heartbeats.py
+++ b/rosemarypath/heartbeats.py
@@ -18,11 +18,12 @@
     PeerState,
 )
 
-__all__ = ["BEAT_SECONDS", "Heartbeats"]
+__all__ = ["GROUPED_BEAT_SECONDS", "Heartbeats"]
 
-BEAT_SECONDS = 0.2  # loads and grants are as old as this at the others
+BEAT_SECONDS = 0.1  # loads and grants are as old as this at the others
+GROUPED_BEAT_SECONDS = 0.2  # in large fleets, whose daemons have more to hear
 FAR_SECONDS = 1.0  # a lead that is silent for longer is looked for anew
-HELD_BEATS = 5  # heartbeats after which is repeated what engines hold
+HELD_BEATS = 6  # heartbeats after which is repeated what engines hold
 FULL_BEATS = 2  # heartbeats between two full digests; some fit into a silence
 SEARCHED = 2  # members of a group that are addressed while its lead is unknown
 
@@ -54,6 +55,11 @@
         self._own_held = {}
         self._told_held = {}
 
+    @property
+    def seconds(self):
+        """Return the time between two heartbeats."""
+        return GROUPED_BEAT_SECONDS if self._peers.is_grouped else BEAT_SECONDS
+
     def start(self):
         """Begin to take messages."""
         self._mesh.on(PeerState, self._on_peer_state)
--- a/standins/simulatedfleet.py
+++ b/standins/simulatedfleet.py
@@ -16,7 +16,7 @@
 
 __all__ = ["BEAT", "Daemon", "FakeMesh", "Network", "Play"]
 
-BEAT = heartbeats.BEAT_SECONDS
+BEAT = heartbeats.GROUPED_BEAT_SECONDS
 
 
 class Network:
