--- a/bench/edgecosts.py
+++ b/bench/edgecosts.py
@@ -18,7 +18,8 @@
 from rosemarypath.decisionlog import DecisionLog
 from rosemarypath.demand import Demand
 from rosemarypath.events import EventSplitter
-from rosemarypath.messages import Batch, Frame, PeerState
+from rosemarypath.frames import Batch, Frame
+from rosemarypath.peermessages import PeerState
 
 __all__ = ["main"]
 
--- a/bench/groupcosts.py
+++ b/bench/groupcosts.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from rosemarypath.messages import Batch, Frame
+from rosemarypath.frames import Batch, Frame
 from standins.simulatedfleet import Play
 
 __all__ = ["Costs", "main", "measure"]
--- a/rosemarypath/confirming.py
+++ b/rosemarypath/confirming.py
@@ -11,7 +11,7 @@
 import asyncio
 
 from rosemarypath.clock import lease_now
-from rosemarypath.messages import FreshnessAsk, LeasePing
+from rosemarypath.peermessages import FreshnessAsk, LeasePing
 
 __all__ = ["Confirmations"]
 
--- a/rosemarypath/copies.py
+++ b/rosemarypath/copies.py
@@ -13,13 +13,6 @@
 
 from rosemarypath.backends import UNSTABLE_SECONDS
 from rosemarypath.clock import lease_now, now
-from rosemarypath.messages import (
-    FreshnessAsk,
-    FreshnessReply,
-    MirrorAsk,
-    MirrorEvents,
-    MirrorSnapshot,
-)
 from rosemarypath.mirror import (
     PROBE_SECONDS,
     WATCH_SECONDS,
@@ -28,6 +21,13 @@
     Watcher,
     WatchRole,
 )
+from rosemarypath.peermessages import (
+    FreshnessAsk,
+    FreshnessReply,
+    MirrorAsk,
+    MirrorEvents,
+    MirrorSnapshot,
+)
 from rosemarypath.stored import StoredObject
 
 __all__ = ["StoreCopies"]
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -9,7 +9,7 @@
 from rosemarypath.backend import ENGINE, HeldModel
 from rosemarypath.backends import BackEnds
 from rosemarypath.loading import LoadOutcome
-from rosemarypath.messages import LoadAsk
+from rosemarypath.peermessages import LoadAsk
 from rosemarypath.shares import BudgetShares, RetryShares
 
 __all__ = ["FleetView"]
--- a/rosemarypath/heartbeats.py
+++ b/rosemarypath/heartbeats.py
@@ -10,7 +10,7 @@
 from rosemarypath.clock import lease_now, now
 from rosemarypath.groups import GroupSum, GroupTotals
 from rosemarypath.holding import HOLDER_KIND
-from rosemarypath.messages import (
+from rosemarypath.peermessages import (
     GroupDigest,
     LeaseAck,
     LeasePing,
--- a/rosemarypath/link.py
+++ b/rosemarypath/link.py
@@ -13,8 +13,8 @@
 
 import msgspec
 
+from rosemarypath.frames import Batch, Frame
 from rosemarypath.log import get_logger
-from rosemarypath.messages import Batch, Frame
 
 __all__ = ["Link", "Mesh"]
 
--- a/rosemarypath/messages.py
+++ b/rosemarypath/messages.py
@@ -16,29 +16,16 @@
     "Adopted",
     "AdoptionAsk",
     "AdoptionReport",
-    "Batch",
     "ConfigurationAsk",
     "ConfigurationDelta",
-    "Frame",
-    "FreshnessAsk",
-    "FreshnessReply",
     "GrantAsk",
     "GrantReply",
-    "GroupDigest",
-    "HeartbeatAck",
     "Heartbeat",
+    "HeartbeatAck",
     "HeldSeat",
-    "LeaseAck",
-    "LeasePing",
-    "LoadAsk",
-    "LoadReply",
-    "MemberState",
-    "MirrorAsk",
-    "MirrorEvents",
-    "MirrorSnapshot",
+    "Message",
     "News",
     "NewsAsk",
-    "PeerState",
     "PermitAsk",
     "PermitReply",
     "PermitReturn",
@@ -285,212 +272,7 @@
     owned: bool
 
 
-class PeerState(Message):
-    """
-    A daemon's heartbeat to one peer, with its share of what all must know.
-
-    `number` counts its heartbeats, `heard` is the highest number heard from the
-    receiver. `has_store` is false while its calls to the store fail. `revisions` maps
-    kinds of the store to the revision at which its copy last changed, `spent` maps
-    customers to the tokens it has admitted since its start, `loads` maps back ends to
-    running requests, prompt tokens not yet read and running requests by adapter.
-    `held` maps the back ends whose orders it gives to what they hold: model, version,
-    adapters with versions. `rates` maps back ends to the prompt tokens a second that
-    it sent there lately. With `is_held_known`, `held` is left out as it is that of the
-    heartbeat before.
-    """
-
-    number: int
-    heard: int
-    is_leaving: bool
-    is_ready: bool
-    has_store: bool
-    revisions: dict[str, int]
-    spent: dict[str, int]
-    loads: dict[str, tuple[int, int, dict[str, int]]]
-    held: dict[str, list[tuple[str, int, dict[str, int]]]]
-    rates: dict[str, int] = {}
-    is_held_known: bool = False
-
-
-class MemberState(msgspec.Struct, frozen=True, array_like=True):
-    """
-    What a group's lead last heard of one daemon.
-
-    `identity` is ``name/incarnation``, `age` the seconds since it was heard; the rest
-    is that of its `PeerState`.
-    """
-
-    identity: str
-    number: int
-    is_leaving: bool
-    is_ready: bool
-    has_store: bool
-    age: float
-
-
-class GroupDigest(Message):
-    """
-    The sum of the newest heartbeats of one group of daemons, or of all other groups.
-
-    `lead` is the ``name/incarnation`` of the daemon that made it; from the lead of the
-    receiver's own group it tells of all other groups. `spent` is what they granted
-    since that lead first heard them, `loads` maps back ends to running requests,
-    prompt tokens not yet read and prompt tokens a second. `held` and `is_held_known`
-    are as in `PeerState`. Only with `is_full` it has the `members`, the highest
-    `revisions` and the running requests by back end and adapter.
-    """
-
-    lead: str
-    number: int
-    is_full: bool
-    spent: dict[str, int]
-    loads: dict[str, tuple[int, int, int]]
-    held: dict[str, list[tuple[str, int, dict[str, int]]]]
-    is_held_known: bool
-    members: list[MemberState] = []
-    revisions: dict[str, int] = {}
-    adapters: dict[str, dict[str, int]] = {}
-
-
-class LeasePing(Message):
-    """Asks one daemon to acknowledge the sender's heartbeat `number` at once."""
-
-    number: int
-
-
-class LeaseAck(Message):
-    """
-    The sender heard `number`, and last saw a change of the kind at `revision`.
-
-    It takes nothing over from the receiver until it was silent for long enough.
-    """
-
-    number: int
-    revision: int
-
-
-class FreshnessAsk(Message):
-    """Asks a daemon that watches the store how current its copy of `kind` is."""
-
-    kind: str
-
-
-class FreshnessReply(Message):
-    """
-    The copy last changed at `revision`; the store had nothing newer `age` seconds ago.
-    """
-
-    revision: int
-    age: float
-
-
-class MirrorAsk(Message):
-    """Asks for a copy of one kind of the store that is newer than `revision`."""
-
-    kind: str
-    revision: int
-
-
-class MirrorSnapshot(Message):
-    """All objects of one kind at a revision: name, version and content of each."""
-
-    kind: str
-    revision: int
-    objects: list[tuple[str, int, object]]
-
-
-class MirrorEvents(Message):
-    """
-    Changes of one kind between two revisions, as a watch brought them.
-
-    `events` are name, version, content and whether the object was removed;
-    `is_unstable` tells that the store failed the sender lately.
-    """
-
-    kind: str
-    since: int
-    revision: int
-    is_unstable: bool
-    events: list[tuple[str, int, object, bool]]
-
-
-class LoadAsk(Message):
-    """Asks the holder of a back end's orders to load an adapter within `seconds`."""
-
-    back_end: str
-    model: str
-    adapter: str
-    seconds: float
-
-
-class LoadReply(Message):
-    """Whether the adapter is held now; `reason` says why not."""
-
-    is_held: bool
-    reason: str = ""
-
-
 class PermitReturn(Message):
     """Ends a load permit."""
 
     permit: str
-
-
-Body = (
-    Heartbeat
-    | HeartbeatAck
-    | Adopted
-    | Testimony
-    | NewsAsk
-    | News
-    | RosterAsk
-    | RosterDelta
-    | ConfigurationAsk
-    | ConfigurationDelta
-    | AdoptionAsk
-    | AdoptionReport
-    | SeatAsk
-    | SeatReply
-    | SeatRelease
-    | SeatsHeldAsk
-    | SeatsHeld
-    | GrantAsk
-    | GrantReply
-    | Settle
-    | PermitAsk
-    | PermitReply
-    | PermitReturn
-    | PeerState
-    | MirrorAsk
-    | MirrorSnapshot
-    | MirrorEvents
-    | LoadAsk
-    | LoadReply
-    | GroupDigest
-    | LeasePing
-    | LeaseAck
-    | FreshnessAsk
-    | FreshnessReply
-)
-
-
-class Frame(msgspec.Struct, frozen=True, array_like=True):
-    """
-    One message in a batch.
-
-    `number` is set on asks, `reply_to` on replies; both are 0 otherwise.
-    """
-
-    number: int
-    reply_to: int
-    body: Body
-
-
-class Batch(msgspec.Struct, frozen=True, array_like=True):
-    """Messages that travel together from one incarnation to another."""
-
-    sender: str
-    sender_address: str
-    receiver: str
-    frames: list[Frame]
--- a/rosemarypath/ordering.py
+++ b/rosemarypath/ordering.py
@@ -10,7 +10,7 @@
 from rosemarypath.clock import lease_now, now
 from rosemarypath.errors import RosemarypathError
 from rosemarypath.loading import EngineKeeper
-from rosemarypath.messages import LoadAsk, LoadReply
+from rosemarypath.peermessages import LoadAsk, LoadReply
 
 __all__ = ["Ordering"]
 
--- a/tests/test_confirming.py
+++ b/tests/test_confirming.py
@@ -16,8 +16,8 @@
 from rosemarypath.confirming import Confirmations
 from rosemarypath.errors import StoreUnavailableError
 from rosemarypath.holding import HOLDER_KIND, Holdings
-from rosemarypath.messages import FreshnessAsk, FreshnessReply
 from rosemarypath.mirror import Mirror
+from rosemarypath.peermessages import FreshnessAsk, FreshnessReply
 from standins.simulatedfleet import BEAT, Play
 from tests.test_holding import LEASE, MemoryStore
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,7 +15,7 @@
 from rosemarypath.fleet import FleetView
 from rosemarypath.holding import Holder
 from rosemarypath.machine import Machine
-from rosemarypath.messages import LoadReply
+from rosemarypath.peermessages import LoadReply
 from rosemarypath.peers import Peers
 from tests.test_choice import engine
 
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -15,7 +15,7 @@
     group_machines,
 )
 from rosemarypath.machine import Machine
-from rosemarypath.messages import GroupDigest, PeerState
+from rosemarypath.peermessages import GroupDigest, PeerState
 
 
 def machine(name, zone):
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -8,7 +8,7 @@
 import pytest
 
 from rosemarypath.groups import GROUP_SIZE
-from rosemarypath.messages import LeasePing
+from rosemarypath.peermessages import LeasePing
 from rosemarypath.peers import RELAYED_SECONDS, SILENT_SECONDS
 from standins.simulatedfleet import BEAT, Play
 
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -15,8 +15,8 @@
 from rosemarypath.errors import ConflictError, NotFoundError, StoreUnavailableError
 from rosemarypath.holding import HOLDER_KIND, Holdings
 from rosemarypath.machine import Machine
-from rosemarypath.messages import PeerState
 from rosemarypath.mirror import Mirror
+from rosemarypath.peermessages import PeerState
 from rosemarypath.peers import Peers
 from rosemarypath.stored import StoredObject
 
