Name the version in loads and in the questions whether they are complete

Without a version the order stands for the newest one. When a newer version was announced while the adapter arrived and requests used it, the question began another load beside the old version, which a full engine has no place for. The keeper also took what arrived for the newest version.

Ruled out: leaving a place free while a load is on its way (a place of 20 lost all the time); asking by reports, which lag by 0.2 s.

Change: an order names the version that was newest when the load was ordered; what is known of a load on its way is one record (`Coming`) in place of two dicts. The wire's NAME@VERSION is split in the adapter alone.

--- a/rosemarypath/loading.py
+++ b/rosemarypath/loading.py
@@ -10,10 +10,11 @@
 
 from rosemarypath.backend import HeldModel
 from rosemarypath.clock import lease_now, now
-from rosemarypath.places import Places
+from rosemarypath.places import Coming, Places
 
 __all__ = ["EngineKeeper", "LoadOutcome"]
 
+LEAST_PAUSE = 0.002  # seconds between two rounds of work
 CHECK_SECONDS = 0.03  # between two questions whether a load is complete
 FIRST_CHECK_SECONDS = 0.04  # an adapter held lately arrives in a tenth of a load
 LATE_CHECK_SECONDS = 0.24  # a load from the weight store takes as long
@@ -22,6 +23,8 @@
 REFRESH_PAUSE = 0.4  # seconds; reports lag by half as much
 SILENT_ORDERS = 2  # orders without an answer in a row, after which an engine is silent
 SILENT_SECONDS = 1.0  # since the last of them; its checks go on and end it sooner
+NEWEST = 0  # asks for the newest version of a model
+FIRST_VERSION = 1  # what an adapter has of which no version was announced
 RECENT_SECONDS = 8.0  # an adapter used since is brought to its newest version
 
 
@@ -76,7 +79,6 @@
         self._version_of = version_of
         self._log = log
         self._wanted = {}
-        self._checks = {}
         self._wakened = asyncio.Event()
         self._orders = None
         self._expected = None
@@ -156,8 +158,9 @@
             self._tell_state()
 
     def _pause(self):
-        if self._checks:
-            return max(0.002, min(self._checks.values()) - now())
+        coming = self._places.coming.values()
+        if coming:
+            return max(LEAST_PAUSE, min(one.check_at for one in coming) - now())
         return HOUSEKEEPING_SECONDS
 
     def _is_current(self, name):
@@ -210,14 +213,15 @@
             for adapter, version in model.adapters.items()
         }
         self._places.note_report(held)
-        coming = {text.partition("@")[0] for text in report.coming}
-        for name in list(self._places.coming):
-            if name not in coming:
-                self._drop_coming(name)
-        self._places.replacing = coming & held.keys()
-        for name in coming:
-            self._places.coming.setdefault(name, now())
-            self._checks.setdefault(name, now() + CHECK_SECONDS)
+        coming = report.coming
+        for name in self._places.coming.keys() - coming.keys():
+            self._places.end(name)
+        self._places.replacing = coming.keys() & held.keys()
+        for name, version in coming.items():
+            at = now()
+            self._places.coming.setdefault(
+                name, Coming(version, at, at + CHECK_SECONDS)
+            )
         self._tell_state()
         self._log.write(
             "orders",
@@ -240,51 +244,50 @@
         self._model_ordered_at = now()
         model = next(iter(plan.models))
         result = await self._calls.load(
-            self.state.back_end, model, "", fence, self._orders
+            self.state.back_end, model, "", NEWEST, fence, self._orders
         )
         self._note_order("load_model", model, result)
         await self._refresh()
         return bool(self._models)
 
+    async def _order_load(self, verb, name, version, fence):
+        """Order a load, or ask by the same order whether it is complete."""
+        # Without its version the order would begin another load once a newer one is
+        # announced, which a full engine has no place for.
+        model, _, adapter = name.partition("/")
+        result = await self._calls.load(
+            self.state.back_end, model, adapter, version, fence, self._orders
+        )
+        self._note_order(verb, name, result)
+        return result
+
     async def _check_coming(self, fence):
         """Ask by a repeated order which loads are complete."""
-        for name, at in list(self._checks.items()):
-            if now() < at:
+        for name, coming in list(self._places.coming.items()):
+            if now() < coming.check_at:
                 continue
-            model, _, adapter = name.partition("/")
-            result = await self._calls.load(
-                self.state.back_end, model, adapter, fence, self._orders
-            )
-            self._note_order("check", name, result)
+            result = await self._order_load("check", name, coming.version, fence)
             if result.holds_already:
-                self._arrive(name)
+                self._arrive(name, coming.version)
             elif result.is_conflict:
                 self._orders = None
                 return
-            elif now() - self._places.coming.get(name, now()) > LOAD_LOST_SECONDS:
-                self._drop_coming(name)
+            elif now() - coming.ordered_at > LOAD_LOST_SECONDS:
+                self._places.end(name)
                 self._orders = None
             else:
-                self._checks[name] = self._next_check(name)
-
-    def _next_check(self, name):
-        """Return when to ask again: a load takes either a tenth or the whole time."""
-        ordered_at = self._places.coming.get(name, now())
-        return max(now() + CHECK_SECONDS, ordered_at + LATE_CHECK_SECONDS)
+                # A load takes either a tenth or the whole time.
+                late = coming.ordered_at + LATE_CHECK_SECONDS
+                coming.check_at = max(now() + CHECK_SECONDS, late)
 
-    def _arrive(self, name):
-        self._drop_coming(name)
-        version = max(self._version_of(name), self._places.held.get(name, 0), 1)
+    def _arrive(self, name, version):
+        self._places.end(name)
         self._places.held[name] = version
         # Those that waited for it are about to use it, so it does not make way.
         self.state.last_used[name] = now()
         self._tell_state()
         self._resolve(name, LoadOutcome(True))
 
-    def _drop_coming(self, name):
-        self._places.end(name)
-        self._checks.pop(name, None)
-
     async def _order_loads(self, fence):
         order = sorted(self._wanted.values(), key=lambda w: -len(w.waiters))
         for wanted in order:
@@ -302,19 +305,17 @@
                 if not await self._evict(fence):
                     self._resolve(name, LoadOutcome(False, "no_place"))
                     continue
-            await self._load(wanted.model, wanted.adapter, fence)
+            await self._load(name, fence)
 
-    async def _load(self, model, adapter, fence):
-        name = f"{model}/{adapter}"
-        result = await self._calls.load(
-            self.state.back_end, model, adapter, fence, self._orders
-        )
-        self._note_order("load", name, result)
+    async def _load(self, name, fence):
+        version = max(FIRST_VERSION, self._version_of(name))
+        result = await self._order_load("load", name, version, fence)
         if result.holds_already:
-            self._arrive(name)
+            self._arrive(name, version)
         elif result.is_accepted:
-            self._checks[name] = now() + FIRST_CHECK_SECONDS
-            if self._places.start(name, now()):
+            at = now()
+            coming = Coming(version, at, at + FIRST_CHECK_SECONDS)
+            if self._places.start(name, coming):
                 self._tell_state()
         elif result.is_conflict:
             # Its count of orders moved on; those that wait are served after a report.
@@ -365,8 +366,7 @@
             # Beside the new version the old one keeps its place until it is unused.
             if not self._places.has_room and not await self._unload(name, fence):
                 return
-            model, _, adapter = name.partition("/")
-            await self._load(model, adapter, fence)
+            await self._load(name, fence)
 
     def _note_answer(self, is_known):
         """Count orders without an answer; let nobody wait for a silent engine."""
--- a/rosemarypath/places.py
+++ b/rosemarypath/places.py
@@ -8,20 +8,33 @@
 free, orders whose answer was lost, and streams that still use an adapter.
 """
 
-__all__ = ["Places"]
+from dataclasses import dataclass
+
+__all__ = ["Coming", "Places"]
 
 MOST_COMING = 4  # adapters that may be on their way to one engine at once
 
 
+@dataclass
+class Coming:
+    """
+    A load on its way: the version that was ordered, when, and when to ask for it next.
+    """
+
+    version: int
+    ordered_at: float
+    check_at: float
+
+
 class Places:
     """
     The adapter places of one engine; `limit` is how many there are.
 
-    `held` maps names to versions, `coming` maps names to when their load was ordered,
-    `leaving` holds names whose unload waits for their last request. An order without an
-    answer needs no place: the next one that is accepted raises the count of orders,
-    which makes it void, and a conflict shows that it was carried out. `replacing` holds
-    names on their way whose older version keeps its place until its requests end.
+    `held` maps names to versions, `coming` maps names to their `Coming`, `leaving`
+    holds names whose unload waits for their last request. `replacing` holds names on
+    their way whose older version keeps its place until its requests end. An order
+    without an answer needs no place: the next one that is accepted raises the count of
+    orders, which makes it void, and a conflict shows that it was carried out.
     """
 
     def __init__(self, limit):
@@ -37,9 +50,9 @@
         names = self.held.keys() | self.coming.keys() | self.leaving
         return len(names) + len(self.replacing)
 
-    def start(self, name, now):
+    def start(self, name, coming):
         """Record that a load of `name` was accepted; return whether it replaces one."""
-        self.coming[name] = now
+        self.coming[name] = coming
         if self.held.pop(name, None) is None and name not in self.leaving:
             return False
         self.replacing.add(name)
--- a/rosemarypath/platform/engine.py
+++ b/rosemarypath/platform/engine.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from rosemarypath.errors import ConnectError, ResponseError
-from rosemarypath.platform.servers import decode_models
+from rosemarypath.platform.servers import decode_models, split_version
 
 __all__ = ["EngineCalls", "EngineReport", "OrderResult"]
 
@@ -61,12 +61,12 @@
     """
     State of an engine some hundred ms ago.
 
-    `orders` counts the orders it accepted since its start, `coming` are the adapters
-    on their way, `is_busy` tells that a model is loaded or unloaded now.
+    `orders` counts the orders it accepted since its start, `coming` maps the adapters
+    on their way to their versions, `is_busy` tells that a model is loaded or unloaded.
     """
 
     models: tuple
-    coming: tuple
+    coming: dict
     orders: int
     is_busy: bool
     running: int
@@ -83,13 +83,15 @@
         self._pool = pool
         self._machine = machine
 
-    async def load(self, back_end, model, adapter, fence, expected):
-        """Order a model, or one of its adapters, in its newest version."""
-        return await self._order(LOAD, back_end, model, adapter, fence, expected)
+    async def load(self, back_end, model, adapter, version, fence, expected):
+        """Order a model, or one of its adapters; version 0 stands for the newest."""
+        document = _order_document(LOAD, model, adapter, version)
+        return await self._order(back_end, document, fence, expected)
 
     async def unload(self, back_end, model, adapter, fence, expected):
         """Order a model or an adapter away."""
-        return await self._order(UNLOAD, back_end, model, adapter, fence, expected)
+        document = _order_document(UNLOAD, model, adapter)
+        return await self._order(back_end, document, fence, expected)
 
     async def report(self, back_end):
         """Return the `EngineReport`, or ``None`` when no readable one came."""
@@ -109,15 +111,9 @@
             return None
         return decode_report(reply.body) if reply.status == 200 else None
 
-    async def _order(self, operation, back_end, model, adapter, fence, expected):
-        document = {
-            "operation": operation,
-            "model": model,
-            "holder": self._machine,
-            "fencingToken": fence,
-        }
-        if adapter:
-            document["adapter"] = adapter
+    async def _order(self, back_end, document, fence, expected):
+        document["holder"] = self._machine
+        document["fencingToken"] = fence
         if expected is not None:
             document["expected"] = expected
         headers = [
@@ -141,13 +137,23 @@
         return OrderResult(reply.status)
 
 
+def _order_document(operation, model, adapter, version=0):
+    """Return what an order says of what it is for."""
+    document = {"operation": operation, "model": model}
+    if adapter:
+        document["adapter"] = adapter
+    if version:
+        document["version"] = version
+    return document
+
+
 def decode_report(body):
     """Return the `EngineReport` in `body`, or ``None`` when it cannot be read."""
     try:
         document = msgspec.json.decode(body)
         return EngineReport(
             models=decode_models(document["models"]),
-            coming=tuple(document.get("coming") or ()),
+            coming=dict(split_version(text) for text in document.get("coming") or ()),
             orders=int(document["sequence"]),
             is_busy=bool(document.get("busy", False)),
             running=int(document.get("running", 0)),
--- a/rosemarypath/platform/servers.py
+++ b/rosemarypath/platform/servers.py
@@ -13,7 +13,7 @@
     HeldModel,
 )
 
-__all__ = ["SERVER_KIND", "decode_models", "decode_server"]
+__all__ = ["SERVER_KIND", "decode_models", "decode_server", "split_version"]
 
 SERVER_KIND = "servers"
 READY = "ready"
@@ -65,13 +65,14 @@
         HeldModel(
             _text(entry["name"]),
             int(entry["version"]),
-            dict(_split_adapter(text) for text in entry.get("adapters") or ()),
+            dict(split_version(text) for text in entry.get("adapters") or ()),
         )
         for entry in entries
     )
 
 
-def _split_adapter(text):
+def split_version(text):
+    """Return name and version of NAME@VERSION; version 0 where none is named."""
     name, _, version = text.partition("@")
     return name, int(version or 0)
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -131,7 +131,7 @@
 
     def _report(self):
         engine = self.engine
-        coming = [f"{MODEL}/{name}@1" for name in engine.coming]
+        coming = [f"{MODEL}/{n}@{v}" for n, v in engine.coming.items()]
         report = {"stage": "unified", "models": self._models(), "busy": False}
         report.update(sequence=engine.orders, coming=coming, waiting=0, running=0)
         return report
@@ -158,7 +158,7 @@
             engine.orders += 1
             del engine.adapters[adapter]
             return 200
-        version = engine.newest.get(adapter, 1)
+        version = order.get("version") or engine.newest.get(adapter, 1)
         if engine.adapters.get(adapter) == version:
             return 200
         if adapter in engine.coming:
--- a/tests/test_loading.py
+++ b/tests/test_loading.py
@@ -41,35 +41,42 @@
         self.coming = {}
         self.runs = {}
         self.newest = {}
+        self.problem = None
 
     def lose(self, share):
         """Leave this share of orders without an answer from now on."""
         self._lost_share = share
 
-    async def load(self, back_end, model, adapter, fence, expected):
-        return await self._order(self._load, adapter, expected)
+    async def load(self, back_end, model, adapter, version, fence, expected):
+        wanted = version or self.newest.get(adapter, 1)
+        return await self._order(self._load, adapter, expected, wanted)
 
     async def unload(self, back_end, model, adapter, fence, expected):
         return await self._order(self._unload, adapter, expected)
 
     async def report(self, back_end):
         held = HeldModel("m", 1, dict(self.held))
-        coming = [f"m/{name}@{version}" for name, version in self.coming.items()]
+        coming = {f"m/{name}": version for name, version in self.coming.items()}
         return SimpleNamespace(orders=self.orders, models=[held], coming=coming)
 
-    async def _order(self, carry_out, adapter, expected):
+    async def _order(self, carry_out, *order):
         await asyncio.sleep(0.001)
         if self._rng.random() < self._lost_share:
             loop = asyncio.get_running_loop()
-            loop.call_later(self._rng.uniform(0.2, 1.2), carry_out, adapter, expected)
+            loop.call_later(self._rng.uniform(0.2, 1.2), self._late, carry_out, *order)
             return OrderResult(0)
-        return OrderResult(carry_out(adapter, expected))
+        return OrderResult(carry_out(*order))
 
-    def _load(self, adapter, expected):
+    def _late(self, carry_out, *order):
+        try:
+            carry_out(*order)
+        except OverfullError as error:
+            self.problem = error
+
+    def _load(self, adapter, expected, wanted):
         if expected != self.orders:
             return 409
-        newest = self.newest.get(adapter, 1)
-        if self.held.get(adapter) == newest:
+        if self.held.get(adapter) == wanted:
             return 200
         if adapter in self.coming:
             return 202
@@ -77,7 +84,7 @@
         if not is_old_kept:
             self.held.pop(adapter, None)
         self.orders += 1
-        self.coming[adapter] = newest
+        self.coming[adapter] = wanted
         if len(self.held) + len(self.coming) > PLACES:
             raise OverfullError(f"{sorted(self.held)} and {sorted(self.coming)}")
         asyncio.get_running_loop().call_later(LOAD_SECONDS, self._arrive, adapter)
@@ -151,6 +158,8 @@
             results = await asyncio.gather(task, return_exceptions=True)
             if isinstance(results[0], OverfullError):
                 raise results[0]
+            if engine.problem is not None:
+                raise engine.problem
 
     return asyncio.run(run())
 
@@ -172,6 +181,25 @@
     assert engine.held["a"] == 2
 
 
+def test_asking_whether_a_load_is_complete_does_not_begin_another():
+    """A newer version is announced while one is on its way to a full engine."""
+    engine = MemoryEngine()
+    engine.held = {"a": 1, "b": 1}
+
+    async def scenario(keeper):
+        asking = asyncio.create_task(keeper.ensure("m", "c", 2.0))
+        while "c" not in engine.coming:
+            await asyncio.sleep(0.001)
+        while "c" not in engine.held:
+            await asyncio.sleep(0.001)
+        # The engine knows of the newer version, and requests use what has arrived.
+        engine.newest = {"c": 2}
+        engine.runs = {"c": 1}
+        return await asking
+
+    assert run_with(engine, scenario).is_held
+
+
 def test_outdated_adapters_are_renewed_without_overfilling():
     engine = MemoryEngine()
     engine.held = {"a": 1, "b": 1, "c": 1}
