--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -213,7 +213,7 @@
             why=outcome.code,
             status=outcome.status,
             message=outcome.message,
-            **dict(getattr(outcome, "facts", ())),
+            **dict(outcome.facts),
         )
         if connection.has_answered:
             connection.abort()
--- a/rosemarypath/heartbeats.py
+++ b/rosemarypath/heartbeats.py
@@ -159,17 +159,22 @@
         is_same = total.held == self._told_held.get(what)
         is_known = is_same and self._beats % HELD_BEATS != 0
         self._told_held[what] = total.held
-        return GroupDigest(
-            self._peers.own.identity,
-            self._peers.number,
-            is_full,
-            spent,
-            total.loads,
-            {} if is_known else total.held,
-            is_known,
-            members if is_full else [],
-            total.revisions if is_full else {},
-            total.adapters if is_full else {},
+        digest = GroupDigest(
+            lead=self._peers.own.identity,
+            number=self._peers.number,
+            is_full=is_full,
+            spent=spent,
+            loads=total.loads,
+            held={} if is_known else total.held,
+            is_held_known=is_known,
+        )
+        if not is_full:
+            return digest
+        return msgspec.structs.replace(
+            digest,
+            members=members,
+            revisions=total.revisions,
+            adapters=total.adapters,
         )
 
     def _on_peer_state(self, identity, state):
--- a/rosemarypath/outcome.py
+++ b/rosemarypath/outcome.py
@@ -15,10 +15,12 @@
     """
     Base of the three outcomes.
 
-    `tag` is the value of the field `not_run` in error bodies.
+    `tag` is the value of the field `not_run` in error bodies, `facts` are pairs of name
+    and value that the log line of the outcome shows.
     """
 
     tag = None
+    facts = ()
 
 
 @dataclass(frozen=True)
@@ -35,8 +37,7 @@
     No back end started the request; running it again is safe.
 
     `retry_after` is in seconds, 0 when waiting does not help; `can_retry` tells
-    whether another back end may be tried at once. `facts` are pairs of name and value
-    that the log line shows.
+    whether another back end may be tried at once.
     """
 
     status: int
--- a/rosemarypath/peers.py
+++ b/rosemarypath/peers.py
@@ -119,8 +119,8 @@
         able = [] if is_own_leaving else [self.own.name]
         able += [
             peer.machine.name
-            for peer in self.direct
-            if not peer.is_leaving and peer.spoke_within(WATCHER_SILENT_SECONDS, now)
+            for peer in self._staying(WATCHER_SILENT_SECONDS, now)
+            if peer.is_direct
         ]
         ordered = rendezvous_order(LEAD_RESOURCE, able)
         return ordered[0] if ordered else self.own.name
@@ -258,10 +258,8 @@
         able = [self.own] if has_own_store else []
         able += [
             peer.machine
-            for peer in self.by_name.values()
+            for peer in self._staying(WATCHER_SILENT_SECONDS, now)
             if peer.has_store
-            and not peer.is_leaving
-            and peer.spoke_within(WATCHER_SILENT_SECONDS, now)
         ]
         ordered = spread_order(WATCH_RESOURCE, able, lambda m: m.name, lambda m: m.zone)
         return [machine.name for machine in ordered[:WATCHERS]]
@@ -280,12 +278,16 @@
         """
         ready = [self.own] if is_own_ready else []
         ready += [
-            peer.machine
-            for peer in self.by_name.values()
-            if peer.is_ready
-            and not peer.is_leaving
-            and peer.spoke_within(SILENT_SECONDS, now)
+            peer.machine for peer in self._staying(SILENT_SECONDS, now) if peer.is_ready
         ]
         if ready:
             return ready
         return [self.own, *(peer.machine for peer in self.by_name.values())]
+
+    def _staying(self, seconds, now):
+        """Return the peers that spoke within `seconds` and are not leaving."""
+        return [
+            peer
+            for peer in self.by_name.values()
+            if not peer.is_leaving and peer.spoke_within(seconds, now)
+        ]
--- a/rosemarypath/platform/requests.py
+++ b/rosemarypath/platform/requests.py
@@ -59,7 +59,7 @@
 
 def request_id(headers):
     """Return the identifier of a caller's request, empty where it has none."""
-    return dict(headers).get(REQUEST_ID, b"").decode("latin-1")
+    return _request_id(dict(headers))
 
 
 def decode_demand(headers):
@@ -69,7 +69,7 @@
     Raises `BadRequestError` when one of them cannot be read.
     """
     values = dict(headers)
-    request = request_id(headers)
+    request = _request_id(values)
     if not request:
         raise BadRequestError("the request has no id", "send X-Attempt-Id")
     model, _, adapter = values.get(MODEL, b"").decode("latin-1").partition("/")
@@ -132,6 +132,10 @@
     return [(b"X-Attempt-Id", request.encode("latin-1"))] if request else []
 
 
+def _request_id(values):
+    return values.get(REQUEST_ID, b"").decode("latin-1")
+
+
 def _listed_in_connection(headers):
     listed = set()
     for name, value in headers:
