Compare with engines that would have to load only when no holder is cheap

Cause: each choice hashed and sorted all engines for the adapter's homes, and built three lists of the peers' loads for each engine, although a holder was chosen.

Change: holders first; the others only when the cheapest holder costs more than a load. One pass over the peers' loads.

Ruled out: caching ranks by adapter (10,000 adapters times the engines).

--- a/rosemarypath/backends.py
+++ b/rosemarypath/backends.py
@@ -70,27 +70,26 @@
         """Return whether it may only be asked slowly."""
         return now < self.cold_until
 
-    def running(self, now):
-        """Return the requests on their way from all daemons."""
-        return self.own.running + sum(load.running for load in self._fresh_peers(now))
-
-    def prompt_tokens(self, now):
-        """Return the prompt tokens not yet read, from all daemons."""
-        return self.own.prompt_tokens + sum(
-            load.prompt_tokens for load in self._fresh_peers(now)
-        )
+    def load(self, now):
+        """
+        Return what all daemons have on their way: running requests, prompt tokens not
+        yet read, and prompt tokens a second.
+        """
+        running = self.own.running
+        tokens = self.own.prompt_tokens
+        rate = self.own_prompt_rate(now)
+        for load, at in self._peer_loads.values():
+            if now - at < PEER_LOAD_SECONDS:
+                running += load.running
+                tokens += load.prompt_tokens
+                rate += load.prompt_rate
+        return running, tokens, rate
 
     def own_prompt_rate(self, now):
         """Return the prompt tokens a second that this daemon sent here lately."""
         age = max(0.0, now - self._prompt_at)
         return self._prompt_rate * exp(-age / RATE_SECONDS)
 
-    def prompt_rate(self, now):
-        """Return the prompt tokens a second that all daemons sent here lately."""
-        return self.own_prompt_rate(now) + sum(
-            load.prompt_rate for load in self._fresh_peers(now)
-        )
-
     def note_peer_load(self, peer, load, adapters, now):
         """
         Record what `peer` has on its way here.
@@ -117,14 +116,11 @@
         """Return whether any daemon has a request for `adapter` on its way here."""
         if self.own.adapters[adapter] > 0:
             return True
-        return any(load.adapters[adapter] for load in self._fresh_peers(now))
-
-    def _fresh_peers(self, now):
-        return [
-            load
+        return any(
+            load.adapters[adapter]
             for load, at in self._peer_loads.values()
             if now - at < PEER_LOAD_SECONDS
-        ]
+        )
 
     def begin(self, demand, now):
         """Count a request that is sent."""
--- a/rosemarypath/choice.py
+++ b/rosemarypath/choice.py
@@ -29,6 +29,7 @@
 RUNNING_SECONDS = 0.002  # what one more running request costs a new one
 QUEUE_SECONDS = 0.05  # what each request beyond the slots costs a new one
 FAILURE_SECONDS = 0.4  # what one recent failure costs
+LEAST_LATENCY = 0.01  # seconds; what a plain service counts as before it answered
 DISTANCE_SECONDS = 0.001  # one way between two zones
 OLD_VERSION_SECONDS = 3.0  # an old version may start requests for so long
 EQUAL_SECONDS = 0.001  # spreads equal choices of plain services
@@ -59,28 +60,52 @@
     """
     if not states:
         return Refusal("no_back_end", 0.5)
-    best = None
-    best_cost = float("inf")
-    homes = _homes(states, demand)
-    is_any_warm = False
+    warm = [state for state in states if _may_be_asked(state, facts, now)]
+    if not warm:
+        return Refusal("all_tried_or_cold", 0.3)
+    holders, others = _split_by_holding(warm, demand, facts, now)
+    best, cost = _cheapest(holders, lambda s: _cost_held(s, demand, facts, now))
+    # Elsewhere a load comes on top, so that a cheap holder needs no comparison.
+    if others and cost > LOAD_SECONDS:
+        ranks = _ranks(states, demand)
+        other, other_cost = _cheapest(
+            others, lambda s: _cost_of_loading(s, ranks[s.name], demand, facts, now)
+        )
+        if other_cost < cost:
+            return Choice(other, needs_load=True)
+    if best is None:
+        return Refusal("cannot_load", 0.3)
+    return Choice(best)
+
+
+def _may_be_asked(state, facts, now):
+    if state.name in facts.excluded:
+        return False
+    return not state.is_cold(now) or state.sent_lately(now) < facts.cold_sends
+
+
+def _split_by_holding(states, demand, facts, now):
+    """Return the states that hold what is asked for, and those that can load it."""
+    holders = []
+    others = []
     for state in states:
-        if state.name in facts.excluded:
-            continue
-        if state.is_cold(now) and state.sent_lately(now) >= facts.cold_sends:
-            continue
-        is_any_warm = True
         held = _holds(state, demand, facts, now)
-        if held is None or (not held and state.name in facts.unloadable):
-            continue
-        cost = _cost(state, demand, facts, held, homes.get(state.name, 0), now)
-        if cost < best_cost:
-            best = Choice(state, needs_load=not held)
-            best_cost = cost
-    if best is not None:
-        return best
-    if not is_any_warm:
-        return Refusal("all_tried_or_cold", 0.3)
-    return Refusal("cannot_load", 0.3)
+        if held:
+            holders.append(state)
+        elif held is not None and state.name not in facts.unloadable:
+            others.append(state)
+    return holders, others
+
+
+def _cheapest(states, cost_of):
+    """Return the state of the least cost and that cost; ``None`` among no states."""
+    best = None
+    least = float("inf")
+    for state in states:
+        cost = cost_of(state)
+        if cost < least:
+            best, least = state, cost
+    return best, least
 
 
 @dataclass(frozen=True)
@@ -129,33 +154,39 @@
     return None if state.is_in_use(demand.held_name, now) else False
 
 
-def _homes(states, demand):
-    """Return the rank of each engine as a home of the adapter."""
-    if not demand.adapter:
-        return {}
+def _ranks(states, demand):
+    """Return the rank of each engine as a home of the adapter, 0 for the first."""
     name = demand.held_name
     ranked = sorted(states, key=lambda state: score(name, state.name), reverse=True)
     return {state.name: rank for rank, state in enumerate(ranked)}
 
 
-def _cost(state, demand, facts, is_held, rank, now):
-    """Return about how many seconds pass until the first byte."""
-    running = state.running(now)
+def _cost_of_loading(state, rank, demand, facts, now):
+    """Return about how many seconds pass until the first byte, with a load."""
+    cost = _cost(state, demand, facts, now) + LOAD_SECONDS + HOME_STEP * rank
+    return cost + DOUBT_SECONDS * (state.name in facts.doubtful)
+
+
+def _cost_held(state, demand, facts, now):
+    """Return about how many seconds pass until the first byte, without a load."""
+    cost = _cost(state, demand, facts, now)
+    if not demand.model:
+        return cost + EQUAL_SECONDS * random.random()
+    if state.adapters.get(demand.held_name, 0) < facts.version:
+        cost += LOAD_SECONDS
+    return cost + JITTER_SECONDS * random.random()
+
+
+def _cost(state, demand, facts, now):
+    running, tokens, rate = state.load(now)
+    capacity = state.back_end.capacity
     cost = running * RUNNING_SECONDS
-    cost += max(0, running - state.back_end.capacity) * QUEUE_SECONDS
+    cost += max(0, running - capacity) * QUEUE_SECONDS
     cost += state.failures(now) * FAILURE_SECONDS
     if state.back_end.zone != facts.zone:
         cost += DISTANCE_SECONDS
     if not demand.model:
-        cost += EQUAL_SECONDS * random.random()
-        return cost + running / state.back_end.capacity * max(state.latency, 0.01)
-    cost += state.prompt_tokens(now) / PREFILL_TOKENS_PER_SECOND
-    reading = state.prompt_rate(now) / PREFILL_TOKENS_PER_SECOND
-    cost += max(0.0, reading - CALM_SHARE) * PAUSE_SECONDS
-    if not is_held:
-        cost += DOUBT_SECONDS * (state.name in facts.doubtful)
-        return cost + LOAD_SECONDS + HOME_STEP * rank
-    cost += JITTER_SECONDS * random.random()
-    if state.adapters.get(demand.held_name, 0) < facts.version:
-        cost += LOAD_SECONDS
-    return cost
+        return cost + running / capacity * max(state.latency, LEAST_LATENCY)
+    cost += tokens / PREFILL_TOKENS_PER_SECOND
+    reading = rate / PREFILL_TOKENS_PER_SECOND
+    return cost + max(0.0, reading - CALM_SHARE) * PAUSE_SECONDS
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -53,7 +53,7 @@
             break
         choice.state.begin(demand("x"), 0.0)
     assert choice.needs_load
-    waiting = states[0].prompt_tokens(0.0) / 25_000.0
+    waiting = states[0].load(0.0)[1] / 25_000.0
     assert waiting < 0.6, "the first token would be late at the first home"
 
 
