Keep what one send knows in one record

From reading the whole change: seven values were passed from step to step of a send, and the rule who is asked next stood twice. `Send` holds them. No behaviour changes but one name: a stream that may not be resumed has no bound on its pauses but its time left, as before, now without a number for it.

Ruled out: keeping them in the request's context, which outlives a send.

--- a/rosemarypath/requestcontext.py
+++ b/rosemarypath/requestcontext.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field
 
-__all__ = ["RequestContext", "Progress"]
+__all__ = ["RequestContext", "Send"]
 
 
 @dataclass
@@ -97,8 +97,21 @@
 
 
 @dataclass
-class Progress:
-    """How far one send came."""
+class Send:
+    """
+    One send of a request to a back end.
+
+    `context` is the `RequestContext`, `state` the `BackEndState`, `started` when it
+    began. `upstream` is the connection to the back end, `caller` that to the caller.
+    `head` is the answer's `AnswerHead`; `has_first` and `is_whole` tell how far the
+    answer came.
+    """
 
+    context: object
+    state: object
+    started: float
+    caller: object = None
+    upstream: object = None
+    head: object = None
     has_first: bool = False
     is_whole: bool = False
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -11,7 +11,7 @@
 from rosemarypath.errors import ConnectError, ResponseError
 from rosemarypath.httpclient import encode_request
 from rosemarypath.outcome import NotRun, Unknown
-from rosemarypath.requestcontext import Progress
+from rosemarypath.requestcontext import Send
 from rosemarypath.routing import STREAM
 
 __all__ = ["Sender"]
@@ -53,56 +53,47 @@
 
     async def send(self, context, state, connection):
         """Send the request once; return ``None`` when the answer was sent."""
-        started = now()
-        demand = context.demand
+        send = Send(context, state, now(), connection)
         is_fresh = not context.route.is_idempotent
         try:
-            upstream = await self._pool.acquire(
-                state.back_end.address, started, is_fresh
+            send.upstream = await self._pool.acquire(
+                state.back_end.address, send.started, is_fresh
             )
         except ConnectError as error:
-            state.note_failure(now(), UNREACHABLE_WEIGHT)
-            self._note_end(context, state, "unreachable", started, error.message)
-            context.excluded.add(state.name)
-            return NotRun(503, "unreachable", error.message, UNREACHABLE_RETRY, True)
+            return self._unreachable(send, error.message)
         context.sends += 1
         context.visited.append(state.name)
-        state.begin(demand, started)
-        progress = Progress()
+        state.begin(context.demand, send.started)
+        # The time to connect is no part of the answer's.
+        send.started = now()
         try:
-            return await self._exchange(context, state, upstream, connection, progress)
+            return await self._exchange(send)
         finally:
-            if not progress.is_whole:
-                upstream.abort()
-            self._pool.release(upstream, now())
-            state.end(demand, progress.has_first, now())
-
-    async def _exchange(self, context, state, upstream, connection, progress):
-        started = now()
-        is_stream = context.route.kind == STREAM
-        silence = self._first_silence(context, started)
+            if not send.is_whole:
+                send.upstream.abort()
+            self._pool.release(send.upstream, now())
+            state.end(context.demand, send.has_first, now())
+
+    async def _exchange(self, send):
+        context = send.context
         try:
-            upstream.send(
-                self._encode(context, state, started),
+            send.upstream.send(
+                self._encode(send),
                 context.request.method,
-                lambda reply: self._answer_head(reply, context, state).is_ours,
+                lambda reply: self._answer_head(send, reply).is_ours,
             )
-            async with asyncio.timeout(silence):
-                reply = await upstream.head()
+            async with asyncio.timeout(self._first_silence(context, send.started)):
+                reply = await send.upstream.head()
         except ResponseError as error:
-            return self._lost(context, state, started, "broken", error.message)
+            return self._lost(send, "broken", error.message)
         except TimeoutError:
-            return self._lost(context, state, started, "silent", "no answer")
-        head = self._answer_head(reply, context, state)
-        if head.has_not_run:
-            return self._rejected(context, state, head, started)
-        if is_stream and head.is_success:
-            return await self._follow(
-                context, state, upstream, connection, progress, head, started
-            )
-        return await self._whole(
-            context, state, upstream, connection, progress, head, started
-        )
+            return self._lost(send, "silent", "no answer")
+        send.head = self._answer_head(send, reply)
+        if send.head.has_not_run:
+            return self._rejected(send)
+        if context.route.kind == STREAM and send.head.is_success:
+            return await self._follow(send)
+        return await self._whole(send)
 
     def _first_silence(self, context, at):
         left = context.left(at)
@@ -112,108 +103,116 @@
             return min(left, FIRST_EVENT_SILENCE)
         return min(left, max(ANSWER_SILENCE_LEAST, left * ANSWER_SILENCE_SHARE))
 
-    def _encode(self, context, state, at):
+    def _encode(self, send):
+        context = send.context
         request = context.request
         headers = self._dialect.forwarded_headers(
             request.headers,
             context.demand,
-            state.back_end,
+            send.state.back_end,
             context.customer.name if context.customer else "",
             context.priority,
-            context.left(at),
+            context.left(send.started),
             context.events.last_event,
         )
         return encode_request(request.method, request.path, headers, request.body)
 
-    def _answer_head(self, reply, context, state):
-        return self._dialect.answer_head(reply, context.id, state.back_end)
+    def _answer_head(self, send, reply):
+        return self._dialect.answer_head(reply, send.context.id, send.state.back_end)
 
-    async def _whole(
-        self, context, state, upstream, connection, progress, head, started
-    ):
+    async def _whole(self, send):
         """Read a whole answer, then pass it on."""
+        context, head = send.context, send.head
         try:
             async with asyncio.timeout(context.left(now())):
-                body = await upstream.read_all()
+                body = await send.upstream.read_all()
         except ResponseError as error:
-            return self._lost(context, state, started, "broken", error.message)
+            return self._lost(send, "broken", error.message)
         except TimeoutError:
-            return self._lost(context, state, started, "silent", "answer not complete")
-        progress.is_whole = True
+            return self._lost(send, "silent", "answer not complete")
+        send.is_whole = True
         if 200 <= head.status < 300 and not head.is_signed:
-            return self._lost(context, state, started, "broken", "no signature")
+            return self._lost(send, "broken", "no signature")
         if head.status >= 500:
             if context.route.is_idempotent and context.head is None:
                 context.failure = (head, body)
-                return self._lost(context, state, started, "failed", str(head.status))
+                return self._lost(send, "failed", str(head.status))
         else:
-            state.note_success(now(), now() - started)
+            send.state.note_success(now(), now() - send.started)
         if context.head is not None:
-            return self._lost(context, state, started, "broken", "not a stream")
+            return self._lost(send, "broken", "not a stream")
         context.note_event(now())
-        connection.answer(head.status, head.headers, body)
-        self._note_end(context, state, "answered", started, str(head.status))
+        send.caller.answer(head.status, head.headers, body)
+        self._note_end(send, "answered", str(head.status))
         return None
 
-    async def _follow(
-        self, context, state, upstream, connection, progress, head, started
-    ):
+    async def _follow(self, send):
         """Pass on the events of a stream as they arrive."""
+        context = send.context
         events = context.events
         events.restart()
         silence = self._first_silence(context, now())
-        gap = GAP_SILENCE if context.route.can_resume else 1e9
+        gap = GAP_SILENCE if context.route.can_resume else float("inf")
         try:
             while True:
-                left = context.left(now())
-                async with asyncio.timeout(min(left, silence)):
-                    data = await upstream.read()
+                async with asyncio.timeout(min(context.left(now()), silence)):
+                    data = await send.upstream.read()
                 if not data:
                     break
                 whole = events.feed(data)
                 if events.is_too_long:
-                    return self._lost(
-                        context, state, started, "broken", "endless event"
-                    )
+                    return self._lost(send, "broken", "endless event")
                 if not whole:
                     continue
                 context.note_event(now())
-                if not progress.has_first:
-                    progress.has_first = True
-                    state.note_first_byte(context.demand)
-                    state.note_success(now(), now() - started)
+                if not send.has_first:
+                    self._note_first(send)
                     silence = gap
-                self._pass_on(context, connection, head, whole)
+                self._pass_on(send, whole)
         except ResponseError as error:
-            return self._lost(context, state, started, "broken", error.message)
+            return self._lost(send, "broken", error.message)
         except TimeoutError:
-            return self._lost(context, state, started, "silent", "no further event")
-        progress.is_whole = True
-        self._pass_on(context, connection, head, events.rest)
-        connection.end()
-        self._note_end(context, state, "answered", started, "stream")
+            return self._lost(send, "silent", "no further event")
+        send.is_whole = True
+        self._pass_on(send, events.rest)
+        send.caller.end()
+        self._note_end(send, "answered", "stream")
         return None
 
     @staticmethod
-    def _pass_on(context, connection, head, data):
-        if context.head is None:
-            context.head = head
-            connection.write_head(head.status, head.headers)
+    def _note_first(send):
+        """Record that the prompt was read and the first event came."""
+        send.has_first = True
+        send.state.note_first_byte(send.context.demand)
+        send.state.note_success(now(), now() - send.started)
+
+    @staticmethod
+    def _pass_on(send, data):
+        if send.context.head is None:
+            send.context.head = send.head
+            send.caller.write_head(send.head.status, send.head.headers)
         if data:
-            connection.write(data)
+            send.caller.write(data)
 
-    def _lost(self, context, state, started, how, message):
+    def _unreachable(self, send, message):
+        """Record that no connection could be made; return a `NotRun`."""
+        send.state.note_failure(now(), UNREACHABLE_WEIGHT)
+        self._note_end(send, "unreachable", message)
+        send.context.excluded.add(send.state.name)
+        return NotRun(503, "unreachable", message, UNREACHABLE_RETRY, True)
+
+    def _lost(self, send, how, message):
         """Record an answer that did not come whole; return an `Unknown`."""
-        state.note_failure(now())
-        self._note_end(context, state, how, started, message)
-        if len(set(context.visited)) < context.route.attempts:
-            context.excluded.add(state.name)
-        status = 504 if context.left(now()) <= 0.0 else 502
+        send.state.note_failure(now())
+        self._note_end(send, how, message)
+        self._exclude_if_others_may(send)
+        status = 504 if send.context.left(now()) <= 0.0 else 502
         return Unknown(status, how, message)
 
-    def _rejected(self, context, state, head, started):
+    def _rejected(self, send):
         """Record that a back end says it did not run the request."""
-        self._note_end(context, state, "rejected", started, str(head.status))
+        context, state, head = send.context, send.state, send.head
+        self._note_end(send, "rejected", str(head.status))
         if head.is_other_back_end:
             state.note_failure(now(), OTHER_WEIGHT)
             context.excluded.add(state.name)
@@ -222,18 +221,25 @@
             self._fleet.note_missing(state, context.demand.held_name)
         else:
             state.note_failure(now(), REJECTED_WEIGHT)
-            if len(set(context.visited)) < context.route.attempts:
-                context.excluded.add(state.name)
+            self._exclude_if_others_may(send)
         return NotRun(503, "rejected", "the back end is full", REJECTED_RETRY, True)
 
-    def _note_end(self, context, state, event, started, message):
-        seconds = now() - started
+    @staticmethod
+    def _exclude_if_others_may(send):
+        """Ask another back end next, unless the route allows no further one."""
+        context = send.context
+        if len(set(context.visited)) < context.route.attempts:
+            context.excluded.add(send.state.name)
+
+    def _note_end(self, send, event, message):
+        context = send.context
+        seconds = now() - send.started
         self._metrics.observe(event, context.route.kind, seconds)
         self._log.write(
             "send",
             event,
             request=context.id,
-            back_end=state.name,
+            back_end=send.state.name,
             sends=context.sends,
             events=context.events.count,
             seconds=round(seconds, 4),
