--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -125,17 +125,27 @@
     play(scenario)
 
 
+async def statuses_of_adapters(fleet, count):
+    """Ask for so many adapters one after the other; return the statuses."""
+    statuses = []
+    for number in range(count):
+        call = fleet.call(b"/ask/x", method=b"POST", adapter=f"a{number}")
+        statuses.append((await call).status)
+    return statuses
+
+
+def check_places(fleet):
+    """Check that no engine holds more than it has places for."""
+    for engine in fleet.engines:
+        assert len(engine.engine.adapters) <= engine.engine.places
+
+
 def test_an_engine_is_never_ordered_to_hold_more_than_it_has_places():
     async def scenario(fleet):
-        names = [f"a{number}" for number in range(14)]
-        replies = []
-        for _ in range(2):
-            for name in names:
-                call = fleet.call(b"/ask/x", method=b"POST", adapter=name)
-                replies.append((await call).status)
-        assert replies.count(200) == len(replies)
-        for engine in fleet.engines:
-            assert len(engine.engine.adapters) <= engine.engine.places
+        statuses = await statuses_of_adapters(fleet, 14)
+        statuses += await statuses_of_adapters(fleet, 14)
+        assert statuses.count(200) == len(statuses)
+        check_places(fleet)
 
     play(scenario)
 
@@ -144,14 +154,10 @@
     async def scenario(fleet):
         for engine in fleet.engines:
             engine.faults.mute_orders = 3
-        statuses = []
-        for number in range(12):
-            call = fleet.call(b"/ask/x", method=b"POST", adapter=f"a{number}")
-            statuses.append((await call).status)
+        statuses = await statuses_of_adapters(fleet, 12)
         await asyncio.sleep(1.0)
         assert statuses.count(200) >= 8
-        for engine in fleet.engines:
-            assert len(engine.engine.adapters) <= engine.engine.places
+        check_places(fleet)
 
     play(scenario)
 
