--- a/rosemarypath/copies.py
+++ b/rosemarypath/copies.py
@@ -100,6 +100,11 @@
         is_unstable = now - self.health.failed_at < UNSTABLE_SECONDS
         return is_unstable or self._is_relay_unstable
 
+    def failure_age(self, now):
+        """Return the seconds since the store last failed this daemon, or ``None``."""
+        age = now - self.health.failed_at
+        return None if age == float("inf") else round(age, 3)
+
     def start(self, spawn):
         """Begin to watch; ``spawn(coroutine)`` runs a task."""
         self._mesh.on(MirrorAsk, self._on_ask)
--- a/rosemarypath/platformstate.py
+++ b/rosemarypath/platformstate.py
@@ -101,6 +101,7 @@
             name=name,
             why=why,
             may_be_lapse=may_be_lapse,
+            store_failed=self._copies.failure_age(at),
             revision=self._servers.revision,
         )
 
--- a/rosemarypath/requestcontext.py
+++ b/rosemarypath/requestcontext.py
@@ -102,7 +102,8 @@
     One send of a request to a back end.
 
     `context` is the `RequestContext`, `state` the `BackEndState`, `started` when it
-    began. `upstream` is the connection to the back end, `caller` that to the caller.
+    began, `connecting` how many seconds the connection took after the choice.
+    `upstream` is the connection to the back end, `caller` that to the caller.
     `head` is the answer's `AnswerHead`; `has_first` and `is_whole` tell how far the
     answer came.
     """
@@ -111,6 +112,7 @@
     state: object
     started: float
     caller: object = None
+    connecting: float = 0.0
     upstream: object = None
     head: object = None
     has_first: bool = False
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -65,6 +65,7 @@
         context.visited.append(state.name)
         state.begin(context.demand, send.started)
         # The time to connect is no part of the answer's.
+        send.connecting = now() - send.started
         send.started = now()
         try:
             return await self._exchange(send)
@@ -243,6 +244,7 @@
             sends=context.sends,
             events=context.events.count,
             seconds=round(seconds, 4),
+            connecting=round(send.connecting, 4),
             first=round((context.first_at or now()) - context.request.arrived, 4),
             gap=round(context.worst_gap, 4),
             detail=message,
