--- /dev/null
+++ b/rosemarypath/reach.py
@@ -0,0 +1,61 @@
+"""
+rosemarypath.reach
+~~~~~~~~~~~~~~~~~~
+
+For how long the store has been reachable, by the answers that any daemon had.
+
+The load answered here: entries of back ends lapse while the store is away for all, and
+are written again after its return. A store that turns some machines away, or whose
+connections break, is not away: what it removes meanwhile is gone.
+"""
+
+__all__ = ["RETURN_SECONDS", "StoreReach"]
+
+RETURN_SECONDS = 2.0  # after the store's return lapsed entries are back; users' page
+
+
+class StoreReach:
+    """
+    When the store answered some daemon, and since when without an outage.
+
+    `longest_gap` is the time in seconds between two answers beyond which the store
+    counts as away. ``on_return(gap)`` is called with the length of each outage.
+    """
+
+    def __init__(self, longest_gap, on_return=None):
+        self._longest_gap = longest_gap
+        self._on_return = on_return or (lambda gap: None)
+        self._answered_at = float("-inf")
+        self._since = float("inf")
+
+    def age(self, now):
+        """Return the seconds since the newest answer, infinite where none is known."""
+        return now - self._answered_at
+
+    def reachable_seconds(self, now):
+        """Return for how long no outage is known of; 0.0 while the store is away."""
+        if self.age(now) > self._longest_gap:
+            return 0.0
+        return max(0.0, now - self._since)
+
+    def note_answer(self, at):
+        """Record that the store answered a daemon at the time `at`."""
+        if at <= self._answered_at:
+            return
+        gap = at - self._answered_at
+        self._answered_at = at
+        if gap <= self._longest_gap:
+            return
+        is_first = self._since == float("inf")
+        self._since = at
+        if not is_first:
+            self._on_return(gap)
+
+    def note_reachable(self, seconds, now):
+        """Take over that, as another daemon knows, the store was reachable so long."""
+        self._answered_at = max(self._answered_at, now)
+        self._since = min(self._since, now - seconds)
+
+    def has_settled(self, now):
+        """Return whether entries that lapsed in the last outage had time to return."""
+        return self.reachable_seconds(now) >= RETURN_SECONDS
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -27,12 +27,13 @@
 
 @dataclass
 class Seen:
-    """One request as it reached the replica."""
+    """One request as it reached the replica, at the event loop's time `at`."""
 
     id: str
     path: str
     headers: dict
     body: bytes
+    at: float
     has_run: bool = False
 
 
@@ -182,7 +183,8 @@
     async def _run(self, request, connection):
         headers = {k.decode(): v.decode() for k, v in request.headers}
         identifier = headers.get("x-attempt-id", "")
-        seen = Seen(identifier, request.path.decode(), headers, request.body)
+        path = request.path.decode()
+        seen = Seen(identifier, path, headers, request.body, request.arrived)
         self.seen.append(seen)
         base = [(b"X-Attempt-Id", identifier.encode())]
         if headers.get("x-expect-instance") != self.name:
