Tell an outage of the store from calls that single daemons lost

What callers saw: requests reached back ends up to 3.3 s after the store had accepted their removal (bound 2.0 s); answers were whole, but a back end that leaves may end at any moment.

Cause: any failed call of one daemon, or of the one that relayed the news, within 3 s made a removal a possible lapse. It was then held for 2 s, counted from the news, and until the next look of housekeeping: up to 3 s and the news on top of a bound of 2 s. Class: local failure taken for a global one; a grace as long as the bound that starts late and ends at a periodic look.

Ruled out: late news (all daemons logged the removal within 0.32 s), an old choice (8,010 sends connected within 4 ms; requests held longer waited for loads and were chosen afresh). always treating removals as final keeps the rule too, but leaves callers without back ends after a real outage.

Change: `StoreReach` knows from the heartbeats when the store answered any daemon. It was away only when nobody had an answer for longer than one renewal of an entry (read from the settings) and a probe; entries then have 2 s from its return, checked at each choice. Otherwise a removal holds at once. Proofs travel as intervals: ages of own answers only, so that they cannot go round, and since when no outage is known.

Before: tests/test_draining.py 4 of 4 removals kept for 2.5 to 3.3 s. The tests of lapsed entries pass before and after.

--- a/rosemarypath/backends.py
+++ b/rosemarypath/backends.py
@@ -12,8 +12,6 @@
 
 FAILURE_HALF_LIFE = 2.0  # seconds; a fault of some seconds is soon tried again
 PEER_LOAD_SECONDS = 1.0  # a peer's count is dropped when it is older
-REMOVAL_GRACE = 2.0  # seconds that an entry lost around an outage still counts
-UNSTABLE_SECONDS = 3.0  # after a failure of the store, removals may be lapses
 MOST_USES = 1000  # adapters whose last use is remembered for one engine
 COLD_WINDOW = 1.0  # seconds over which sends to a cold back end are bounded
 HOLDER_REPORT_SECONDS = 2.0  # the order holder's report outdates the list for so long
@@ -35,7 +33,8 @@
     """
     One back end.
 
-    `entry` is what the platform's list says, `seen_at` when that was read.
+    `entry` is what the platform's list says, `seen_at` when that was read; with
+    `is_missing` the list names it no longer, which an outage may be the reason for.
     """
 
     def __init__(self, entry, now):
@@ -50,7 +49,7 @@
         self.own = Load()
         self.adapters = {}
         self.model_versions = {}
-        self.removed_at = None
+        self.is_missing = False
         self.cold_until = now + entry.cold_seconds
         self.last_used = {}
         self.latency = 0.0
@@ -186,7 +185,7 @@
             self.model_versions = {}
         self.entry = entry
         self.seen_at = now
-        self.removed_at = None
+        self.is_missing = False
         self.cold_until = now + entry.cold_seconds
         if now - self.holder_reported_at > HOLDER_REPORT_SECONDS:
             self.set_models(entry.models)
@@ -226,31 +225,34 @@
         self._by_service = {}
         return state
 
-    def remove(self, name, now, may_be_lapse):
-        """Record that an entry is gone, at once or after a grace."""
+    def remove(self, name, may_be_lapse):
+        """Record that an entry is gone, or missing if that `may_be_lapse`."""
         state = self.states.get(name)
         if state is None:
             return
         if may_be_lapse and not state.entry.is_leaving:
-            state.removed_at = now
+            state.is_missing = True
         else:
             self._drop(name)
 
-    def drop_removed(self, now):
-        """Drop entries whose grace is over, and old uses; return the entries' names."""
-        gone = [
-            name
-            for name, state in self.states.items()
-            if state.removed_at is not None and now - state.removed_at > REMOVAL_GRACE
-        ]
+    def drop_missing(self):
+        """Drop the back ends whose entry did not return; return their names."""
+        gone = [name for name, state in self.states.items() if state.is_missing]
         for name in gone:
             self._drop(name)
+        return gone
+
+    def forget_old_uses(self):
+        """Bound what is remembered of the use of adapters."""
         for state in self.states.values():
             state.forget_old_uses()
-        return gone
 
-    def usable(self, service):
-        """Return the states of `service` that take new work."""
+    def usable(self, service, counts_missing):
+        """
+        Return the states of `service` that take new work.
+
+        `counts_missing` tells whether those with a missing entry are among them.
+        """
         if service not in self._by_service:
             self._by_service[service] = [
                 state
@@ -261,6 +263,7 @@
             state
             for state in self._by_service[service]
             if state.back_end.zone not in self.evacuated
+            and (counts_missing or not state.is_missing)
         ]
 
     def _drop(self, name):
--- a/rosemarypath/copies.py
+++ b/rosemarypath/copies.py
@@ -11,7 +11,6 @@
 
 from dataclasses import dataclass
 
-from rosemarypath.backends import UNSTABLE_SECONDS
 from rosemarypath.clock import lease_now, now
 from rosemarypath.mirror import (
     PROBE_SECONDS,
@@ -28,6 +27,7 @@
     MirrorEvents,
     MirrorSnapshot,
 )
+from rosemarypath.reach import StoreReach
 from rosemarypath.stored import StoredObject
 
 __all__ = ["StoreCopies"]
@@ -53,6 +53,8 @@
         Client of the store.
     `peers`, `mesh`
         The other daemons, and the links to them.
+    `renewal`
+        How often a back end renews its entry, in seconds.
     `log`
         The `DecisionLog`.
     `probe_kind`
@@ -62,7 +64,7 @@
         it is; its watch waits as shortly there.
     """
 
-    def __init__(self, store, peers, mesh, log, probe_kind, fresh_kind):
+    def __init__(self, store, peers, mesh, renewal, log, probe_kind, fresh_kind):
         self._store = store
         self._peers = peers
         self._mesh = mesh
@@ -72,9 +74,10 @@
         self._role = WatchRole()
         self._watchers = []
         self._behind = {}
-        self._is_relay_unstable = False
         self._mirrors = {}
         self.health = StoreHealth(self._on_health)
+        # An outage of up to one renewal lets no entry lapse; watches show it later.
+        self.reach = StoreReach(renewal + PROBE_SECONDS, self._on_return)
 
     @property
     def is_watching(self):
@@ -95,16 +98,6 @@
         """Return whether `kind` was ever read."""
         return self._mirrors[kind].is_known
 
-    def may_be_lapse(self, now):
-        """Return whether the store was away so lately that removals may be lapses."""
-        is_unstable = now - self.health.failed_at < UNSTABLE_SECONDS
-        return is_unstable or self._is_relay_unstable
-
-    def failure_age(self, now):
-        """Return the seconds since the store last failed this daemon, or ``None``."""
-        age = now - self.health.failed_at
-        return None if age == float("inf") else round(age, 3)
-
     def start(self, spawn):
         """Begin to watch; ``spawn(coroutine)`` runs a task."""
         self._mesh.on(MirrorAsk, self._on_ask)
@@ -116,6 +109,7 @@
                 self._store,
                 mirror,
                 self.health,
+                self.reach,
                 self._role,
                 self._pass_events,
                 seconds_of=self._watch_seconds,
@@ -171,7 +165,7 @@
             mirror.kind,
             since,
             mirror.revision,
-            now() - self.health.failed_at < UNSTABLE_SECONDS,
+            self.reach.reachable_seconds(now()),
             [(o.name, o.version, o.spec, is_removed) for o, is_removed in events],
         )
         own = self._peers.own.name
@@ -184,13 +178,13 @@
         mirror = self._mirrors.get(message.kind)
         if mirror is None or not mirror.is_known:
             return
+        at = now()
+        self.reach.note_answer(at, at - message.reachable)
         if mirror.revision < message.since:
             self.ask_for_snapshot(identity, mirror)
             return
         events = [(StoredObject(*fields[:3]), fields[3]) for fields in message.events]
-        self._is_relay_unstable = message.is_unstable
         mirror.apply(events, message.revision)
-        self._is_relay_unstable = False
 
     def _on_ask(self, identity, ask):
         mirror = self._mirrors.get(ask.kind)
@@ -215,5 +209,8 @@
             "store", "relayed", kind=message.kind, revision=message.revision
         )
 
+    def _on_return(self, gap):
+        self._log.write("store", "returned", away=round(gap, 3))
+
     def _on_health(self, is_up, reason):
         self._log.write("store", "regained" if is_up else "lost", why=reason)
--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -77,12 +77,18 @@
             self._store,
             self._peers,
             self._mesh,
+            settings.entry_renewal,
             self._log,
             probe_kind=dialect.server_kind,
             fresh_kind=HOLDER_KIND,
         )
         self._fleet = FleetView(
-            settings, self._peers, self._mesh, self._new_holdings(), self._log
+            settings,
+            self._peers,
+            self._mesh,
+            self._new_holdings(),
+            self._copies.reach,
+            self._log,
         )
         self._heartbeats = Heartbeats(
             self._peers, self._mesh, self._fleet, self._copies
@@ -257,8 +263,9 @@
     async def _do_housekeeping(self):
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
-            for name in self._fleet.back_ends.drop_removed(now()):
+            for name in self._fleet.drop_missing(now()):
                 self._log.write("servers", "removed", name=name, why="did not return")
+            self._fleet.back_ends.forget_old_uses()
             self._pool.drop_stale(now())
             await self._registration.remove_silent()
 
--- a/rosemarypath/edgesettings.py
+++ b/rosemarypath/edgesettings.py
@@ -27,6 +27,8 @@
         How long an order holder must have been silent before the next one orders.
     `stop_grace`
         Time between SIGTERM and SIGKILL.
+    `entry_renewal`
+        How often a back end renews its entry in the store; it lapses after three.
     `drain`
         How long a back end that leaves still takes work.
     `retry_ratio`, `retry_slack`, `retry_window`
@@ -50,6 +52,7 @@
     zones: dict = field(default_factory=dict)
     lease: float = 3.0
     stop_grace: float = 8.0
+    entry_renewal: float = 1.2
     drain: float = 2.0
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -35,12 +35,15 @@
         The other daemons, and the links to them.
     `holdings`
         The `Holdings`.
+    `reach`
+        The `StoreReach`.
     `log`
         The `DecisionLog`.
     """
 
-    def __init__(self, settings, peers, mesh, holdings, log):
+    def __init__(self, settings, peers, mesh, holdings, reach, log):
         self._peers = peers
+        self._reach = reach
         self._mesh = mesh
         self._log = log
         self._versions = {}
@@ -103,9 +106,9 @@
         """Return whether this daemon has just started and may not know all yet."""
         return now - self._peers.started_at < FRESH_SECONDS
 
-    def usable(self, service):
+    def usable(self, service, now):
         """Return the states of back ends of `service` that take new work."""
-        return self.back_ends.usable(service)
+        return self.back_ends.usable(service, not self._reach.has_settled(now))
 
     def engine_plan(self, service):
         """Return the `EnginePlan` of a service, or ``None``."""
@@ -210,9 +213,19 @@
         """Take over an entry of the platform's list."""
         return self.back_ends.set_entry(entry, now)
 
-    def remove_back_end(self, name, may_be_lapse, now):
-        """Record that an entry is gone, for good unless the store was away lately."""
-        self.back_ends.remove(name, now, may_be_lapse)
+    def remove_back_end(self, name, now):
+        """
+        Record that an entry is gone, for good unless the store was away lately.
+
+        Returns whether it may only have lapsed.
+        """
+        may_be_lapse = not self._reach.has_settled(now)
+        self.back_ends.remove(name, may_be_lapse)
+        return may_be_lapse
+
+    def drop_missing(self, now):
+        """Drop the back ends whose entry did not return in time; return their names."""
+        return self.back_ends.drop_missing() if self._reach.has_settled(now) else []
 
     def note_peer_state(self, identity, state, now):
         """Take over loads, grants and residency from a heartbeat."""
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -144,25 +144,26 @@
 
     def _choose(self, context, at):
         demand = context.demand
-        states = self._fleet.usable(context.service)
+        states = self._fleet.usable(context.service, at)
         version, learned_at = self._fleet.version_of(demand.held_name)
         facts = ChoiceFacts(
             zone=self._fleet.zone,
             version=version,
             version_age=at - learned_at,
-            excluded=self._excluded(context),
+            excluded=self._excluded(context, states),
             unloadable=self._fleet.unloadable(states, at) | context.unloadable,
             doubtful=self._fleet.doubtful(at),
             cold_sends=self._fleet.cold_sends(context.service, at),
         )
         return choose_back_end(states, demand, facts, at)
 
-    def _excluded(self, context):
+    @staticmethod
+    def _excluded(context, states):
         """Return the back ends that may not get the request any more."""
         excluded = frozenset(context.excluded)
         if len(set(context.visited)) < context.route.attempts:
             return excluded
-        names = {state.name for state in self._fleet.usable(context.service)}
+        names = {state.name for state in states}
         return excluded | (names - set(context.visited))
 
     async def _load(self, context, state):
--- a/rosemarypath/groups.py
+++ b/rosemarypath/groups.py
@@ -82,30 +82,32 @@
 
     `loads` maps back ends to running requests, prompt tokens not yet read and prompt
     tokens a second, `adapters` to running requests by adapter; `held` maps engines to
-    what they hold, `revisions` kinds to the highest revision.
+    what they hold, `revisions` kinds to the highest revision; `store_age` is the
+    seconds since the store answered one of them.
     """
 
     loads: dict = field(default_factory=dict)
     adapters: dict = field(default_factory=dict)
     held: dict = field(default_factory=dict)
     revisions: dict = field(default_factory=dict)
+    store_age: float = float("inf")
 
-    def add_state(self, state):
-        """Add the `PeerState` of one daemon."""
+    def add_state(self, state, age=0.0):
+        """Add the `PeerState` of one daemon, heard `age` seconds ago."""
         for back_end, (running, tokens, adapters) in state.loads.items():
             self._add_load(back_end, (running, tokens, 0))
             self._add_adapters(back_end, adapters)
         for back_end, rate in state.rates.items():
             self._add_load(back_end, (0, 0, rate))
-        self._add_rest(state)
+        self._add_rest(state, age)
 
-    def add_digest(self, digest):
-        """Add the `GroupDigest` of one group."""
+    def add_digest(self, digest, age=0.0):
+        """Add the `GroupDigest` of one group, heard `age` seconds ago."""
         for back_end, load in digest.loads.items():
             self._add_load(back_end, load)
         for back_end, adapters in digest.adapters.items():
             self._add_adapters(back_end, adapters)
-        self._add_rest(digest)
+        self._add_rest(digest, age)
 
     def _add_load(self, back_end, load):
         known = self.loads.get(back_end, (0, 0, 0))
@@ -115,7 +117,8 @@
         if adapters:
             self.adapters.setdefault(back_end, Counter()).update(adapters)
 
-    def _add_rest(self, source):
+    def _add_rest(self, source, age):
+        self.store_age = min(self.store_age, source.store_age + age)
         self.held.update(source.held)
         for kind, revision in source.revisions.items():
             self.revisions[kind] = max(revision, self.revisions.get(kind, 0))
--- a/rosemarypath/heartbeats.py
+++ b/rosemarypath/heartbeats.py
@@ -81,6 +81,8 @@
             loads=self._fleet.own_loads(),
             held=self._fleet.own_held(),
             rates=self._fleet.own_rates(now()),
+            store_age=round(self._copies.health.answer_age(now()), 3),
+            reachable=round(self._copies.reach.reachable_seconds(now()), 3),
         )
         told = self._without_known(state)
         for peer in self._peers.direct:
@@ -124,7 +126,7 @@
         total = GroupSum()
         members = []
         for heard_at, digest in self._fresh_far(at):
-            total.add_digest(digest)
+            total.add_digest(digest, at - heard_at)
             members += [_older(member, at - heard_at) for member in digest.members]
         digest = self._digest("others", total, members, self._far_totals.with_own({}))
         for peer in self._peers.direct:
@@ -149,7 +151,7 @@
             if known is not None and self._peers.is_heard(peer.machine.name, at):
                 age = at - peer.heard_at
                 members.append(_member(peer.machine.identity, known, age))
-                total.add_state(known)
+                total.add_state(known, age)
         spent = self._totals.with_own(state.spent)
         return self._digest("group", total, members, spent)
 
@@ -167,6 +169,8 @@
             loads=total.loads,
             held={} if is_known else total.held,
             is_held_known=is_known,
+            store_age=round(total.store_age, 3),
+            reachable=round(self._copies.reach.reachable_seconds(now()), 3),
         )
         if not is_full:
             return digest
@@ -183,6 +187,7 @@
         if peer is None:
             return
         self._mesh.note_answer(identity)
+        self._copies.reach.note_answer(at - state.store_age, at - state.reachable)
         self._copies.note_revisions(identity, state.revisions, at)
         if not peer.is_direct:
             return
@@ -207,6 +212,7 @@
         if sender is None:
             return
         self._peers.note_digest(digest, at, lease_now())
+        self._copies.reach.note_answer(at - digest.store_age, at - digest.reachable)
         self._copies.note_revisions(identity, digest.revisions, at)
         if sender.is_direct:
             self._fleet.note_digest(f"others by {identity}", digest, at)
--- a/rosemarypath/mirror.py
+++ b/rosemarypath/mirror.py
@@ -124,6 +124,10 @@
         self.failed_at = float("-inf")
         self.is_up = False
 
+    def answer_age(self, now):
+        """Return the seconds since the store's last answer, infinite before one."""
+        return now - self.answered_at
+
     def note_answer(self, now):
         """Record an answer that was no failure."""
         self.answered_at = now
@@ -172,6 +176,7 @@
     """
     Keeps a `Mirror` by listing its kind and, in the role, watching it.
 
+    `health` and `reach` are the `StoreHealth` and the `StoreReach`.
     ``on_events(mirror, since, events)`` is called for what a watch brought,
     ``seconds_of(kind)`` tells how long one watch waits.
     """
@@ -181,6 +186,7 @@
         store,
         mirror,
         health,
+        reach,
         role,
         on_events,
         gather=GATHER_SECONDS,
@@ -190,6 +196,7 @@
         self._store = store
         self._mirror = mirror
         self._health = health
+        self._reach = reach
         self._role = role
         self._on_events = on_events
         self._gather = gather
@@ -205,7 +212,7 @@
                 await self._step()
                 pause = RETRY_FIRST
             except VersionGoneError:
-                self._health.note_answer(time.monotonic())
+                self._note_answer()
                 self._needs_list = True
             except (StoreUnavailableError, NotFoundError) as error:
                 self._health.note_failure(time.monotonic(), error.message)
@@ -217,7 +224,7 @@
         asked_at = lease_now()
         if self._needs_list:
             objects, revision = await self._store.list(mirror.kind)
-            self._health.note_answer(time.monotonic())
+            self._note_answer()
             mirror.replace(objects, revision)
             mirror.read_at = asked_at
             self._needs_list = False
@@ -226,10 +233,15 @@
         events, revision = await self._store.watch(
             mirror.kind, mirror.revision, self._seconds_of(mirror.kind)
         )
-        self._health.note_answer(time.monotonic())
+        self._note_answer()
         if revision > mirror.revision:
             mirror.apply(events, revision)
         mirror.read_at = asked_at
         if events:
             self._on_events(mirror, since, events)
             await asyncio.sleep(self._gather)
+
+    def _note_answer(self):
+        at = time.monotonic()
+        self._health.note_answer(at)
+        self._reach.note_answer(at)
--- a/rosemarypath/peermessages.py
+++ b/rosemarypath/peermessages.py
@@ -31,7 +31,9 @@
 
     `number` counts its heartbeats, `heard` is the highest number heard from the
     receiver. `has_store` is false while its calls to the store fail. `revisions` maps
-    kinds of the store to the revision at which its copy last changed, `spent` maps
+    kinds of the store to the revision at which its copy last changed, `store_age` is
+    the seconds since the store last answered the sender itself, `reachable` for how
+    many seconds the sender knows of no outage of the store, `spent` maps
     customers to the tokens it has admitted since its start, `loads` maps back ends to
     running requests, prompt tokens not yet read and running requests by adapter.
     `held` maps the back ends whose orders it gives to what they hold: model, version,
@@ -51,6 +53,8 @@
     held: dict[str, list[tuple[str, int, dict[str, int]]]]
     rates: dict[str, int] = {}
     is_held_known: bool = False
+    store_age: float = float("inf")
+    reachable: float = 0.0
 
 
 class MemberState(msgspec.Struct, frozen=True, array_like=True):
@@ -77,7 +81,7 @@
     receiver's own group it tells of all other groups. `spent` is what they granted
     since that lead first heard them, `loads` maps back ends to running requests,
     prompt tokens not yet read and prompt tokens a second. `held` and `is_held_known`
-    are as in `PeerState`. Only with `is_full` it has the `members`, the highest
+    and `reachable` are as in `PeerState`; `store_age` is the least of all. Only with `is_full` it has the `members`, the highest
     `revisions` and the running requests by back end and adapter.
     """
 
@@ -91,6 +95,8 @@
     members: list[MemberState] = []
     revisions: dict[str, int] = {}
     adapters: dict[str, dict[str, int]] = {}
+    store_age: float = float("inf")
+    reachable: float = 0.0
 
 
 class LeasePing(Message):
@@ -145,13 +151,13 @@
     Changes of one kind between two revisions, as a watch brought them.
 
     `events` are name, version, content and whether the object was removed;
-    `is_unstable` tells that the store failed the sender lately.
+    `reachable` is as in `PeerState`.
     """
 
     kind: str
     since: int
     revision: int
-    is_unstable: bool
+    reachable: float
     events: list[tuple[str, int, object, bool]]
 
 
--- a/rosemarypath/platform/settings.py
+++ b/rosemarypath/platform/settings.py
@@ -63,6 +63,8 @@
         store_address=document["platform"]["address"],
         lease=bounds.get("leaseMs", 3000) / MILLISECONDS,
         stop_grace=float(bounds.get("graceS", 8)),
+        # "heartbeatMs" is that of the back ends' entries, not of daemons.
+        entry_renewal=document.get("heartbeatMs", 1200) / MILLISECONDS,
         drain=bounds.get("drainMs", 2000) / MILLISECONDS,
         retry_ratio=float(bounds.get("retryBudgetRatio", 0.2)),
         retry_slack=float(bounds.get("retryBudgetSlack", 50)),
--- a/rosemarypath/platformstate.py
+++ b/rosemarypath/platformstate.py
@@ -93,15 +93,14 @@
 
     def _drop_server(self, name, why):
         at = now()
-        may_be_lapse = self._copies.may_be_lapse(at)
-        self._fleet.remove_back_end(name, may_be_lapse, at)
+        may_be_lapse = self._fleet.remove_back_end(name, at)
         self._log.write(
             "servers",
             "removed",
             name=name,
             why=why,
             may_be_lapse=may_be_lapse,
-            store_failed=self._copies.failure_age(at),
+            reachable=round(self._copies.reach.reachable_seconds(at), 3),
             revision=self._servers.revision,
         )
 
--- a/rosemarypath/reach.py
+++ b/rosemarypath/reach.py
@@ -38,23 +38,28 @@
             return 0.0
         return max(0.0, now - self._since)
 
-    def note_answer(self, at):
-        """Record that the store answered a daemon at the time `at`."""
-        if at <= self._answered_at:
+    def note_answer(self, at, since=None):
+        """
+        Record that the store answered a daemon at the time `at`.
+
+        `since` is from when on that daemon knows of no outage. A daemon that never had
+        an answer tells an infinite past.
+        """
+        if at == float("-inf"):
+            return
+        since = at if since is None else min(at, since)
+        if self._answered_at == float("-inf"):
+            self._answered_at, self._since = at, since
             return
-        gap = at - self._answered_at
-        self._answered_at = at
-        if gap <= self._longest_gap:
+        if at < self._since - self._longest_gap:
             return
-        is_first = self._since == float("inf")
-        self._since = at
-        if not is_first:
+        gap = since - self._answered_at
+        if gap > self._longest_gap:
+            self._answered_at, self._since = at, since
             self._on_return(gap)
-
-    def note_reachable(self, seconds, now):
-        """Take over that, as another daemon knows, the store was reachable so long."""
-        self._answered_at = max(self._answered_at, now)
-        self._since = min(self._since, now - seconds)
+            return
+        self._answered_at = max(self._answered_at, at)
+        self._since = min(self._since, since)
 
     def has_settled(self, now):
         """Return whether entries that lapsed in the last outage had time to return."""
--- a/standins/simulatedfleet.py
+++ b/standins/simulatedfleet.py
@@ -12,10 +12,13 @@
 from rosemarypath.backends import PEER_LOAD_SECONDS
 from rosemarypath.heartbeats import Heartbeats
 from rosemarypath.machine import Machine
+from rosemarypath.mirror import StoreHealth
 from rosemarypath.peers import Peers
+from rosemarypath.reach import StoreReach
 
 __all__ = ["BEAT", "Daemon", "FakeMesh", "Network", "Play"]
 
+OUTAGE_SECONDS = 1.7
 BEAT = heartbeats.GROUPED_BEAT_SECONDS
 
 
@@ -120,8 +123,11 @@
         self.machine = machine
         self.peers = Peers(machine, 0.0, 0.0)
         self.fleet = FakeFleet(number, clock)
+        health = StoreHealth()
+        health.note_answer(0.0)
         self.copies = SimpleNamespace(
-            health=SimpleNamespace(is_up=True),
+            health=health,
+            reach=StoreReach(OUTAGE_SECONDS),
             revisions={"rosemarypath-holders": 5},
             note_revisions=lambda identity, revisions, now: None,
         )
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -11,6 +11,7 @@
 
 from rosemarypath.errors import StoreUnavailableError, VersionGoneError
 from rosemarypath.mirror import Mirror, StoreHealth, Watcher, WatchRole
+from rosemarypath.reach import StoreReach
 from rosemarypath.stored import StoredObject
 
 
@@ -120,7 +121,8 @@
 
     async def run():
         passed = lambda mirror, since, events: None  # noqa: E731
-        watcher = Watcher(store, mirror, health, WatchRole(), passed, gather=0.0)
+        reach = StoreReach(1.7)
+        watcher = Watcher(store, mirror, health, reach, WatchRole(), passed, gather=0.0)
         task = asyncio.create_task(watcher.run())
         await asyncio.sleep(0.5)
         task.cancel()
