Find at once that the store is there after one broken watch

What callers saw: the same late requests to a removed back end, in the test where the store turns four of five daemons away and breaks a connection of the fifth.

Cause: a daemon outside the role of watching still has long watches from before. When one of them broke, the daemon counted as without the store, told the others so, and asked again by a watch that waits for up to 20 s; its other watches slept, as the role was over. With all daemons in that state nobody looked at the store for 1.8 s (trace of the test: no answer from 0.85 s to 2.65 s although it answered edge-1), so that changes were late and the store seemed away. Same class: one failed call taken for the state of the store.

Change: losing the store wakes all watches of the daemon, and the first call after a failure or a sleep does not wait for news (`LOOK_SECONDS`). While some daemons do not reach the store, as many more watch it.

--- a/rosemarypath/copies.py
+++ b/rosemarypath/copies.py
@@ -213,4 +213,5 @@
         self._log.write("store", "returned", away=round(gap, 3))
 
     def _on_health(self, is_up, reason):
+        self._role.set_store(is_up)
         self._log.write("store", "regained" if is_up else "lost", why=reason)
--- a/rosemarypath/mirror.py
+++ b/rosemarypath/mirror.py
@@ -26,6 +26,7 @@
 
 WATCH_SECONDS = 20.0  # a waiting watch is priced as one call, however long
 PROBE_SECONDS = 0.5  # the same for the kind whose watch shows that the store speaks
+LOOK_SECONDS = 0.001  # the same for a watch that shows at once whether it speaks
 GATHER_SECONDS = 0.25  # pause between two watches that collects a burst of events
 RETRY_FIRST = 0.1  # seconds before the first new try after a failure
 RETRY_MOST = 1.0  # seconds between tries while the store stays away
@@ -152,24 +153,35 @@
     """
 
     def __init__(self):
-        self._is_on = asyncio.Event()
-        self._is_on.set()
+        self._is_due = asyncio.Event()
+        self._is_due.set()
+        self._has_store = False
+        self.is_on = True
 
     @property
-    def is_on(self):
-        """Return whether this daemon watches."""
-        return self._is_on.is_set()
+    def is_due(self):
+        """Return whether to call the store, in the role or to find whether it is up."""
+        return self._is_due.is_set()
 
     def set(self, is_on):
         """Put a new role in force."""
-        if is_on:
-            self._is_on.set()
-        else:
-            self._is_on.clear()
+        self.is_on = is_on
+        self._update()
+
+    def set_store(self, has_store):
+        """Take over whether the store answered the last call."""
+        self._has_store = has_store
+        self._update()
 
-    async def wait_until_on(self):
-        """Return when this daemon is to watch."""
-        await self._is_on.wait()
+    async def wait_until_due(self):
+        """Return when this daemon is to call the store."""
+        await self._is_due.wait()
+
+    def _update(self):
+        if self.is_on or not self._has_store:
+            self._is_due.set()
+        else:
+            self._is_due.clear()
 
 
 class Watcher:
@@ -205,21 +217,26 @@
     async def run(self):
         """Watch until cancelled."""
         pause = RETRY_FIRST
+        is_look = False
         while True:
-            if not self._needs_list and self._health.is_up:
-                await self._role.wait_until_on()
+            if not self._needs_list and not self._role.is_due:
+                await self._role.wait_until_due()
+                is_look = True
             try:
-                await self._step()
+                await self._step(is_look)
                 pause = RETRY_FIRST
+                is_look = False
             except VersionGoneError:
                 self._note_answer()
                 self._needs_list = True
             except (StoreUnavailableError, NotFoundError) as error:
                 self._health.note_failure(time.monotonic(), error.message)
                 await asyncio.sleep(pause)
+                is_look = True
                 pause = min(RETRY_MOST, pause * 2)
 
-    async def _step(self):
+    async def _step(self, is_look):
+        """List or watch once; a look asks for news without waiting for some."""
         mirror = self._mirror
         asked_at = lease_now()
         if self._needs_list:
@@ -230,8 +247,9 @@
             self._needs_list = False
             return
         since = mirror.changed
+        seconds = LOOK_SECONDS if is_look else self._seconds_of(mirror.kind)
         events, revision = await self._store.watch(
-            mirror.kind, mirror.revision, self._seconds_of(mirror.kind)
+            mirror.kind, mirror.revision, seconds
         )
         self._note_answer()
         if revision > mirror.revision:
--- a/rosemarypath/peermessages.py
+++ b/rosemarypath/peermessages.py
@@ -80,9 +80,10 @@
     `lead` is the ``name/incarnation`` of the daemon that made it; from the lead of the
     receiver's own group it tells of all other groups. `spent` is what they granted
     since that lead first heard them, `loads` maps back ends to running requests,
-    prompt tokens not yet read and prompt tokens a second. `held` and `is_held_known`
-    and `reachable` are as in `PeerState`; `store_age` is the least of all. Only with `is_full` it has the `members`, the highest
-    `revisions` and the running requests by back end and adapter.
+    prompt tokens not yet read and prompt tokens a second. `held`, `is_held_known` and
+    `reachable` are as in `PeerState`; `store_age` is the least of all. Only with
+    `is_full` it has the `members`, the highest `revisions` and the running requests by
+    back end and adapter.
     """
 
     lead: str
--- a/rosemarypath/peers.py
+++ b/rosemarypath/peers.py
@@ -253,16 +253,16 @@
         """
         Return the names of the machines that watch the store for all.
 
-        They are the first ones, over the zones, that speak and reach the store.
+        They are the first ones, over the zones, that speak and reach the store; while
+        some do not reach it, more of them look whether it is away for all.
         """
         able = [self.own] if has_own_store else []
-        able += [
-            peer.machine
-            for peer in self._staying(WATCHER_SILENT_SECONDS, now)
-            if peer.has_store
-        ]
+        staying = self._staying(WATCHER_SILENT_SECONDS, now)
+        able += [peer.machine for peer in staying if peer.has_store]
+        lost = len(staying) + 1 - len(able)
+        count = WATCHERS + min(lost, WATCHERS)
         ordered = spread_order(WATCH_RESOURCE, able, lambda m: m.name, lambda m: m.zone)
-        return [machine.name for machine in ordered[:WATCHERS]]
+        return [machine.name for machine in ordered[:count]]
 
     def served_by(self, watchers, name):
         """Return which of `watchers` passes news on to the machine `name`."""
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -10,7 +10,13 @@
 from hypothesis import given, settings, strategies as st
 
 from rosemarypath.errors import StoreUnavailableError, VersionGoneError
-from rosemarypath.mirror import Mirror, StoreHealth, Watcher, WatchRole
+from rosemarypath.mirror import (
+    LOOK_SECONDS,
+    Mirror,
+    StoreHealth,
+    Watcher,
+    WatchRole,
+)
 from rosemarypath.reach import StoreReach
 from rosemarypath.stored import StoredObject
 
@@ -132,3 +138,48 @@
     assert store.asked[3:] == ["list", "watch 5", "watch 5", "watch 6"]
     assert {n: o.spec for n, o in mirror.objects.items()} == {"a": "y", "b": "z"}
     assert states == [True, False, True]
+
+
+class SplitStore(Store):
+    """Loses the watches of one kind; what else is asked is answered at once."""
+
+    async def list(self, kind):
+        return [], 1
+
+    async def watch(self, kind, revision, seconds):
+        self.asked.append((kind, seconds))
+        if kind == "long":
+            await asyncio.sleep(0.2)
+            raise StoreUnavailableError("connection lost", "try again")
+        await asyncio.sleep(seconds)
+        return [], revision
+
+
+def test_a_daemon_that_lost_one_watch_finds_at_once_that_the_store_is_there():
+    store = SplitStore([])
+    role = WatchRole()
+    states = []
+
+    def on_health(is_up, reason):
+        states.append(is_up)
+        role.set_store(is_up)
+
+    health = StoreHealth(on_health)
+
+    async def run():
+        for kind in ("long", "short"):
+            mirror = Mirror(kind, lambda changed, removed: None)
+            passed = lambda mirror, since, events: None  # noqa: E731
+            watcher = Watcher(store, mirror, health, StoreReach(1.7), role, passed)
+            tasks.append(asyncio.create_task(watcher.run()))
+            await asyncio.sleep(0.05)
+            # Only the first kind is being watched when the role ends.
+            role.set(False)
+        await asyncio.sleep(0.25)
+        for task in tasks:
+            task.cancel()
+
+    tasks = []
+    asyncio.run(run())
+    assert states[-2:] == [False, True]
+    assert ("short", LOOK_SECONDS) in store.asked
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,50 @@
+"""
+tests.test_peers
+~~~~~~~~~~~~~~~~
+
+Which daemons watch the store for all.
+"""
+
+import pytest
+
+from rosemarypath.machine import Machine
+from rosemarypath.peers import WATCHERS, Peers
+
+
+def machine(number):
+    return Machine(
+        name=f"m{number}",
+        incarnation="1",
+        zone=f"z{number % 4}",
+        callers_address="a",
+        peers_address="p",
+    )
+
+
+@pytest.fixture
+def peers():
+    """Return the `Peers` of the first of eight machines, which all spoke just now."""
+    known = Peers(machine(0), 0.0, 0.0)
+    known.set_machines([machine(number) for number in range(8)], 0.0, 0.0)
+    for peer in known.by_name.values():
+        peer.heard_at = 5.0
+    return known
+
+
+def test_a_few_machines_watch_while_all_reach_the_store(peers):
+    assert len(peers.watchers(True, 5.0)) == WATCHERS
+
+
+def test_machines_that_lost_the_store_are_replaced_and_more_look(peers):
+    lost = peers.watchers(True, 5.0)[:2]
+    for name in set(lost) - {"m0"}:
+        peers.by_name[name].has_store = False
+    watchers = peers.watchers("m0" not in lost, 5.0)
+    assert not set(lost) & set(watchers)
+    assert len(watchers) == WATCHERS + 2
+
+
+def test_only_machines_that_reach_the_store_watch(peers):
+    for name in ("m1", "m2", "m3", "m4", "m5"):
+        peers.by_name[name].has_store = False
+    assert sorted(peers.watchers(True, 5.0)) == ["m0", "m6", "m7"]
