Look again whether a back end takes work once the connection to it stands

A connection may take up to 1 s, and a request whose back end left, was taken out with its zone or grew cold meanwhile was sent there all the same. Requests that connect at the same time are not counted towards the rate of a cold back end: 20 of 20 reached one that takes 3.

Cause: the choice was the last look before the bytes. Class: a decision used after what it was made from has changed.

Ruled out as the cause of the held requests of the report: there the connection took 4 ms at most and the time went into loads, after which the choice is made anew.

Change: `FleetView.may_take` is asked between connecting and sending; a request that may not go is chosen anew (`withdrawn`), which is no repeated send.

--- a/rosemarypath/choice.py
+++ b/rosemarypath/choice.py
@@ -16,7 +16,7 @@
 
 from rosemarypath.hashing import score
 
-__all__ = ["Choice", "Refusal", "choose_back_end"]
+__all__ = ["Choice", "Refusal", "choose_back_end", "is_within_cold_rate"]
 
 PREFILL_TOKENS_PER_SECOND = 25_000.0  # what one engine reads; from the users' sheet
 CALM_SHARE = 0.25  # of its reading an engine may spend on prompts without long pauses
@@ -78,10 +78,15 @@
     return Choice(best)
 
 
+def is_within_cold_rate(state, cold_sends, now):
+    """Return whether a cold back end may get one more of `cold_sends` a second."""
+    return not state.is_cold(now) or state.sent_lately(now) < cold_sends
+
+
 def _may_be_asked(state, facts, now):
     if state.name in facts.excluded:
         return False
-    return not state.is_cold(now) or state.sent_lately(now) < facts.cold_sends
+    return is_within_cold_rate(state, facts.cold_sends, now)
 
 
 def _split_by_holding(states, demand, facts, now):
--- a/rosemarypath/explaining.py
+++ b/rosemarypath/explaining.py
@@ -21,6 +21,7 @@
     "cannot_load": "no engine could load the adapter: see the loads above",
     "all_tried_or_cold": "every back end that may run it was tried or is cold",
     "unreachable": "no connection to the back end could be made",
+    "withdrawn": "the back end left while it was connected to",
     "rejected": "the back end said that it did not run the request",
     "broken": "the back end's answer broke off or was not valid",
     "silent": "the back end sent nothing for too long",
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -8,6 +8,7 @@
 from rosemarypath import clock
 from rosemarypath.backend import ENGINE, HeldModel
 from rosemarypath.backends import BackEnds
+from rosemarypath.choice import is_within_cold_rate
 from rosemarypath.loading import LoadOutcome
 from rosemarypath.peermessages import LoadAsk
 from rosemarypath.shares import BudgetShares, RetryShares
@@ -110,6 +111,13 @@
         """Return the states of back ends of `service` that take new work."""
         return self.back_ends.usable(service, not self._reach.has_settled(now))
 
+    def may_take(self, state, now):
+        """Return whether a back end that was chosen before may get a request now."""
+        service = state.back_end.serves
+        if state not in self.usable(service, now):
+            return False
+        return is_within_cold_rate(state, self.cold_sends(service, now), now)
+
     def engine_plan(self, service):
         """Return the `EnginePlan` of a service, or ``None``."""
         if self.table is None:
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -10,10 +10,11 @@
 from rosemarypath.choice import ChoiceFacts, Refusal, choose_back_end
 from rosemarypath.clock import now
 from rosemarypath.outcome import NotRun, Unknown
-from rosemarypath.sending import Sender
+from rosemarypath.sending import WITHDRAWN, Sender
 
 __all__ = ["Forwarder"]
 
+UNSENT = frozenset({"unreachable", WITHDRAWN})
 MOST_SENDS = 6  # sends of one request, rejected ones included
 RESEND_PAUSE = 0.02  # seconds before a back end that rejected a request is asked again
 LOAD_WAIT_SHARE = 0.6  # part of the time left that a request waits for a load
@@ -191,7 +192,8 @@
             return False
         if isinstance(outcome, Unknown) and not context.route.is_idempotent:
             return False
-        if isinstance(outcome, NotRun) and outcome.code == "unreachable":
+        # Neither reached a back end, so that no bound on repeated sends applies.
+        if isinstance(outcome, NotRun) and outcome.code in UNSENT:
             return True
         if not self._fleet.spend_retry(context.service, now()):
             self._metrics.count("retries.over_budget")
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -14,7 +14,7 @@
 from rosemarypath.requestcontext import Send
 from rosemarypath.routing import STREAM
 
-__all__ = ["Sender"]
+__all__ = ["WITHDRAWN", "Sender"]
 
 FIRST_EVENT_SILENCE = 1.6  # seconds; callers leave a silent stream after about 2.4
 GAP_SILENCE = 1.2  # seconds between two events after which a stream moves on
@@ -26,6 +26,7 @@
 REJECTED_RETRY = 0.3  # seconds after which a full back end has room again
 UNREACHABLE_RETRY = 0.1  # seconds; another back end is asked meanwhile
 MISDIRECTED = 421
+WITHDRAWN = "withdrawn"  # the back end may not get the request any more
 
 
 class Sender:
@@ -61,12 +62,14 @@
             )
         except ConnectError as error:
             return self._unreachable(send, error.message)
-        context.sends += 1
-        context.visited.append(state.name)
-        state.begin(context.demand, send.started)
         # The time to connect is no part of the answer's.
         send.connecting = now() - send.started
         send.started = now()
+        if not self._fleet.may_take(state, send.started):
+            return self._withdrawn(send)
+        context.sends += 1
+        context.visited.append(state.name)
+        state.begin(context.demand, send.started)
         try:
             return await self._exchange(send)
         finally:
@@ -202,6 +205,12 @@
         send.context.excluded.add(send.state.name)
         return NotRun(503, "unreachable", message, UNREACHABLE_RETRY, True)
 
+    def _withdrawn(self, send):
+        """Record that the back end stopped taking work while it was connected to."""
+        self._pool.release(send.upstream, now())
+        self._note_end(send, WITHDRAWN, "")
+        return NotRun(503, WITHDRAWN, "the back end left", UNREACHABLE_RETRY, True)
+
     def _lost(self, send, how, message):
         """Record an answer that did not come whole; return an `Unknown`."""
         send.state.note_failure(now())
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -10,7 +10,8 @@
 import pytest
 
 from rosemarypath.httpclient import ConnectionPool
-from tests.edgefleet import running_fleet
+from rosemarypath.reach import RETURN_SECONDS
+from tests.edgefleet import configuration, running_fleet
 
 NEWS_SECONDS = 0.5  # a change's way to all daemons, watches and relays together
 CALLS_EACH = 3  # so that each daemon asks both back ends
@@ -90,6 +91,8 @@
     monkeypatch,
 ):
     async def scenario(fleet, clock):
+        # A daemon that just started cannot tell a removal from a lapse.
+        await asyncio.sleep(RETURN_SECONDS)
         slow = fleet.ledgers[1]  # in the daemon's zone, so that it is preferred
         acquire = ConnectionPool.acquire
 
@@ -110,6 +113,31 @@
     play(scenario, daemons=1)
 
 
+def test_requests_that_wait_to_connect_do_not_exceed_a_cold_rate(monkeypatch):
+    async def scenario(fleet, clock):
+        cold = fleet.ledgers[1]
+        acquire = ConnectionPool.acquire
+
+        async def acquire_slowly(pool, address, *args, **options):
+            if address == cold.address:
+                await asyncio.sleep(0.3)
+            return await acquire(pool, address, *args, **options)
+
+        document = configuration(2)
+        for service in document["services"]:
+            service["coldPerS"] = 2.0
+        fleet.configure(document)
+        fleet.announce(cold, coldRemainingMs=5000)
+        await asyncio.sleep(NEWS_SECONDS)
+        monkeypatch.setattr(ConnectionPool, "acquire", acquire_slowly)
+        calls = [fleet.call(b"/read/x") for _ in range(20)]
+        replies = await asyncio.gather(*calls)
+        assert {reply.status for reply in replies} == {200}
+        assert len(cold.seen) <= 2.0 * fleet.settings[0].cold_factor
+
+    play(scenario, daemons=1)
+
+
 @pytest.mark.parametrize("fault", ["busy", "reset", "silent"])
 def test_entries_that_lapsed_in_an_outage_are_used_until_they_are_back(fault):
     async def scenario(fleet, clock):
@@ -139,7 +167,7 @@
         returned_at = clock()
         assert await call_all(fleet, drain_bound(fleet) + 2.5) == {200}
         # Back within two seconds; each daemon tries again once a second at least.
-        latest = returned_at + 2.0 + 1.0 + NEWS_SECONDS
+        latest = returned_at + RETURN_SECONDS + 1.0 + NEWS_SECONDS
         assert returned_at + 1.0 < last_arrival(fleet.ledgers[0]) <= latest
 
     play(scenario)
