Give up on answers whose bytes do not end

What callers would see: a daemon that runs out of memory (300 MB) by one such connection.

Cause: heads, interim answers, answers to earlier requests, chunk extensions and trailers were taken in without a bound, as were bodies between two reads; only a body that was being read whole had one (64 MB), and its connection stayed open.

Change: a connection is given up after 1 MB that is no part of the awaited body; the peer waits while 256 KB of a body are unread; each whole answer has a bound by its purpose, and a watch whose events exceed it is listed anew. An event's end is searched in new bytes only, as a stream without one was searched from its start at each read.

Ruled out: links between daemons (a length is refused beyond 16 MB) and callers (limits of the configuration) have bounds.

Before: the ten new tests in tests/test_httpclient.py failed on the code before, one with 179 MB held. After: they pass.

--- a/rosemarypath/errors.py
+++ b/rosemarypath/errors.py
@@ -6,6 +6,7 @@
 """
 
 __all__ = [
+    "AnswerTooLargeError",
     "ConflictError",
     "ConnectError",
     "NotFoundError",
@@ -73,3 +74,7 @@
 
 class ResponseError(RosemarypathError):
     """An answer is missing or broken; the request may have been carried out."""
+
+
+class AnswerTooLargeError(ResponseError):
+    """An answer holds more bytes than its reader can take."""
--- a/rosemarypath/events.py
+++ b/rosemarypath/events.py
@@ -11,6 +11,7 @@
 
 END = re.compile(rb"\r?\n\r?\n")
 IDENTIFIER = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
+END_BYTES = 4  # of the longest end
 MOST_HELD = 1024 * 1024  # bytes of one event, beyond which the stream is broken
 
 
@@ -36,7 +37,9 @@
         """Return the whole events that `data` completes."""
         held = self.rest + data if self.rest else data
         end = 0
-        for match in END.finditer(held):
+        # An end may begin in what was searched before.
+        searched = max(0, len(self.rest) - END_BYTES + 1)
+        for match in END.finditer(held, searched):
             end = match.end()
             self.count += 1
         whole, self.rest = held[:end], held[end:]
--- a/rosemarypath/httpclient.py
+++ b/rosemarypath/httpclient.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from rosemarypath.errors import ConnectError, ResponseError
+from rosemarypath.errors import AnswerTooLargeError, ConnectError, ResponseError
 
 __all__ = ["Connection", "ConnectionPool", "Reply", "encode_request"]
 
@@ -24,7 +24,9 @@
 IDLE_SECONDS = 1.5  # reuse bound where the server announces no timeout
 IDLE_SHARE = 0.5  # share of an announced timeout after which reuse would race
 REUSABLE_IDLE = 16  # idle connections kept for one address
-MAX_BODY_BYTES = 64 * 1024 * 1024  # a larger answer is treated as broken
+MAX_BODY_BYTES = 16 * 1024 * 1024  # some answers of that size fit into a machine
+HEAD_BYTES = 1024 * 1024  # heads, framing and foreign answers before the next body part
+UNREAD_BYTES = 256 * 1024  # body bytes that wait here before the peer has to wait
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -84,6 +86,8 @@
         self._waiter = None
         self._accepts = None
         self._pieces = deque()
+        self._unread = 0
+        self._beside_body = 0
         self._headers = []
         self._head = None
         self._error = None
@@ -118,6 +122,11 @@
         """Return whether bytes can still be sent."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def unread_bytes(self):
+        """Return how many bytes of the body wait to be read."""
+        return self._unread
+
     @property
     def is_reusable(self):
         """Return whether the last exchange left nothing behind."""
@@ -138,7 +147,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._accepts = accepts
         self._method = method
-        self._pieces.clear()
+        self._clear_pieces()
+        self._beside_body = 0
         self._head = None
         self._in_exchange = True
         self._is_complete = False
@@ -164,18 +174,26 @@
                 raise self._error
             await self._wait()
         data = b"".join(self._pieces)
-        self._pieces.clear()
+        self._clear_pieces()
         return data
 
-    async def read_all(self):
-        """Return the whole body; raises `ResponseError` when it is cut short."""
+    async def read_all(self, most=MAX_BODY_BYTES):
+        """
+        Return the whole body.
+
+        Raises `ResponseError` when it is cut short, and `AnswerTooLargeError` beyond
+        `most` bytes.
+        """
         parts = []
         size = 0
         while data := await self.read():
             parts.append(data)
             size += len(data)
-            if size > MAX_BODY_BYTES:
-                raise self._broken(f"a body of over {MAX_BODY_BYTES} bytes")
+            if size > most:
+                self.abort()
+                raise AnswerTooLargeError(
+                    f"{self.address}: a body of over {most} bytes", "ask for less"
+                )
         return b"".join(parts)
 
     def abort(self):
@@ -190,6 +208,7 @@
         tune_socket(transport)
 
     def data_received(self, data):
+        self._beside_body += len(data)
         if not self._in_exchange or self._is_complete:
             self._is_spoiled = True
             self.abort()
@@ -201,6 +220,7 @@
             if not self._is_complete:
                 self._fail(f"not HTTP ({error!r})")
             self.abort()
+        self._bound_received()
         self._wake()
 
     def eof_received(self):
@@ -249,6 +269,8 @@
     def on_body(self, data):
         if not self._is_skipping and not self._is_complete:
             self._pieces.append(data)
+            self._unread += len(data)
+            self._beside_body = 0
 
     def on_message_complete(self):
         if self._is_skipping:
@@ -258,6 +280,21 @@
             if self._is_framed:
                 self._is_complete = True
 
+    def _bound_received(self):
+        """Give up on bytes that are no answer; let the peer wait for a slow reader."""
+        if self._beside_body > HEAD_BYTES and not self._is_complete:
+            self._is_spoiled = True
+            self._fail(f"over {HEAD_BYTES} bytes that are no part of the body")
+            self.abort()
+        elif self._unread > UNREAD_BYTES and self.is_open:
+            self._transport.pause_reading()
+
+    def _clear_pieces(self):
+        self._pieces.clear()
+        self._unread = 0
+        if self.is_open:
+            self._transport.resume_reading()
+
     def _note_reuse(self, head):
         if not self._parser.should_keep_alive():
             self._is_spoiled = True
@@ -337,9 +374,11 @@
         self._idle.clear()
         self._in_use.clear()
 
-    async def call(self, address, method, path, headers, body, timeout, now):
+    async def call(
+        self, address, method, path, headers, body, timeout, now, most=MAX_BODY_BYTES
+    ):
         """
-        Return the whole `Reply` to one call.
+        Return the whole `Reply` to one call, of `most` bytes at most.
 
         Raises `ConnectError` when nothing was sent and `ResponseError` when the
         answer is missing, late (after `timeout` seconds) or broken.
@@ -352,7 +391,7 @@
             async with asyncio.timeout(timeout):
                 connection.send(data, method)
                 head = await connection.head()
-                content = await connection.read_all()
+                content = await connection.read_all(most)
         except TimeoutError as error:
             raise ResponseError(
                 f"{address}: no answer within {timeout} s", "try again later"
--- a/rosemarypath/platform/engine.py
+++ b/rosemarypath/platform/engine.py
@@ -19,6 +19,7 @@
 REPORT_PATH = b"/api/report"
 ORDER_TIMEOUT = 0.6  # seconds; a replica answers an order within a few ms
 REPORT_TIMEOUT = 0.6  # seconds
+REPORT_BYTES = 1024 * 1024  # some times what a replica tells of all that it runs
 ACCEPTED = 202
 HOLDS_ALREADY = 200
 LOAD = "load"
@@ -106,6 +107,7 @@
                 b"",
                 REPORT_TIMEOUT,
                 time.monotonic(),
+                REPORT_BYTES,
             )
         except (ConnectError, ResponseError):
             return None
@@ -131,6 +133,7 @@
                 body,
                 ORDER_TIMEOUT,
                 time.monotonic(),
+                REPORT_BYTES,
             )
         except (ConnectError, ResponseError):
             return OrderResult()
--- a/rosemarypath/platform/store.py
+++ b/rosemarypath/platform/store.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from rosemarypath.errors import (
+    AnswerTooLargeError,
     ConflictError,
     ConnectError,
     NotFoundError,
@@ -129,6 +130,11 @@
             reply = await self._pool.call(
                 self._address, method, target, headers, body, timeout, time.monotonic()
             )
+        except AnswerTooLargeError as error:
+            # Asking again would bring the same events; a list comes in pages.
+            if verb == "watch":
+                raise VersionGoneError(error.message, "list it anew") from error
+            raise self._unavailable(f"{verb} of {kind}: {error.message}") from error
         except (ConnectError, ResponseError) as error:
             raise self._unavailable(f"{verb} of {kind}: {error.message}") from error
         return self._judge(reply, kind, verb)
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -14,7 +14,13 @@
 
 from bench.ports import free_ports
 from rosemarypath.errors import ConnectError, ResponseError
-from rosemarypath.httpclient import Connection, ConnectionPool, encode_request
+from rosemarypath.httpclient import (
+    HEAD_BYTES,
+    UNREAD_BYTES,
+    Connection,
+    ConnectionPool,
+    encode_request,
+)
 
 GET = encode_request(b"GET", b"/", [(b"Host", b"h")])
 GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
@@ -174,3 +180,83 @@
         server.close()
 
     asyncio.run(run())
+
+
+PIECE = 64 * 1024
+MOST = 1024 * 1024
+FLOOD_MOST = 256 * 1024 * 1024
+FLOODS = {
+    "header": (b"HTTP/1.1 200 OK\r\nX-Long: ", b"a" * PIECE),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"X-Many: a\r\n" * (PIECE // 11)),
+    "interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * (PIECE // 25)),
+    "reason": (b"HTTP/1.1 200 ", b"a" * PIECE),
+    "foreign": (
+        b"HTTP/1.1 200 OK\r\nX-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"10000\r\n" + b"a" * PIECE + b"\r\n",
+    ),
+    "body": (b"HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\n", b"a" * PIECE),
+    "chunks": (
+        b"HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"10000\r\n" + b"a" * PIECE + b"\r\n",
+    ),
+    "extension": (
+        b"HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+        b"a" * PIECE,
+    ),
+    "trailer": (
+        b"HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-Many: a\r\n" * (PIECE // 11),
+    ),
+}
+
+
+async def flooded_call(start, piece, use):
+    """Have a server send `piece` without end; return what ``use`` raised, and bytes."""
+    sent = []
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start)
+        try:
+            while sum(sent) < FLOOD_MOST:
+                writer.write(piece)
+                await writer.drain()
+                sent.append(len(piece))
+        except ConnectionError:
+            pass
+
+    port = free_ports(1)[0]
+    server = await asyncio.start_server(serve, "127.0.0.1", port)
+    try:
+        async with asyncio.timeout(8.0):
+            connection = await Connection.open(f"127.0.0.1:{port}")
+            connection.send(GET, b"GET", lambda r: r.header(b"x-id") == b"mine")
+            with pytest.raises(ResponseError):
+                await use(connection)
+            is_open = connection.is_open
+            await asyncio.sleep(0.05)
+            return sum(sent), is_open
+    finally:
+        server.close()
+
+
+@pytest.mark.parametrize("name", FLOODS)
+def test_bytes_without_end_are_given_up_and_the_connection_closed(name):
+    async def read_whole(connection):
+        await connection.head()
+        await connection.read_all(MOST)
+
+    sent, is_open = asyncio.run(flooded_call(*FLOODS[name], read_whole))
+    assert not is_open
+    # What the kernel's buffers hold on both sides comes on top.
+    assert sent <= MOST + HEAD_BYTES + 16 * 1024 * 1024
+
+
+def test_a_body_that_nobody_reads_yet_is_not_taken_in_without_end():
+    async def read_late(connection):
+        await connection.head()
+        await asyncio.sleep(0.5)
+        assert connection.unread_bytes <= UNREAD_BYTES + 1024 * 1024
+        await connection.read_all(MOST)
+
+    asyncio.run(flooded_call(*FLOODS["body"], read_late))
