Read how long an old adapter version may begin from the settings

An old version was used for 3.0 s wherever it ran, which is within the bound of 5 s of both sites and beyond one of 2 s elsewhere.

Looked at and left: evacuations, revoked keys, configurations and removals hold from the news on; the lease, cold rates, retries and the lifetime of addresses are read from the settings already.

Change: `version_bound` less a margin for the news, a connection and a place. After SIGHUP it and the entries' renewal are taken over. Tests: bounds from a settings file, the grace of a short bound (both new; the latter failed before, as nothing read it).

--- a/rosemarypath/choice.py
+++ b/rosemarypath/choice.py
@@ -31,7 +31,6 @@
 FAILURE_SECONDS = 0.4  # what one recent failure costs
 LEAST_LATENCY = 0.01  # seconds; what a plain service counts as before it answered
 DISTANCE_SECONDS = 0.001  # one way between two zones
-OLD_VERSION_SECONDS = 3.0  # an old version may start requests for so long
 EQUAL_SECONDS = 0.001  # spreads equal choices of plain services
 JITTER_SECONDS = 0.03  # spreads choices made before daemons hear of each other
 
@@ -124,6 +123,8 @@
         This daemon's zone.
     `version`, `version_age`
         The newest version of the adapter (0: any) and the seconds since it was learned.
+    `version_grace`
+        Seconds from then on in which an older version may still be used.
     `excluded`
         Names of back ends that may not get this request.
     `unloadable`
@@ -137,6 +138,7 @@
     zone: str
     version: int = 0
     version_age: float = 0.0
+    version_grace: float = 3.0
     excluded: frozenset = frozenset()
     unloadable: frozenset = frozenset()
     doubtful: frozenset = frozenset()
@@ -154,7 +156,7 @@
     version = state.adapters.get(demand.held_name)
     if version is None:
         return False
-    if version >= facts.version or facts.version_age < OLD_VERSION_SECONDS:
+    if version >= facts.version or facts.version_age < facts.version_grace:
         return True
     return None if state.is_in_use(demand.held_name, now) else False
 
--- a/rosemarypath/copies.py
+++ b/rosemarypath/copies.py
@@ -76,8 +76,7 @@
         self._behind = {}
         self._mirrors = {}
         self.health = StoreHealth(self._on_health)
-        # An outage of up to one renewal lets no entry lapse; watches show it later.
-        self.reach = StoreReach(renewal + PROBE_SECONDS, self._on_return)
+        self.reach = StoreReach(_longest_gap(renewal), self._on_return)
 
     @property
     def is_watching(self):
@@ -89,6 +88,10 @@
         """Return the revision of the last change of each known kind."""
         return {k: m.changed for k, m in self._mirrors.items() if m.is_known}
 
+    def set_renewal(self, renewal):
+        """Take over how often a back end renews its entry, in seconds."""
+        self.reach.longest_gap = _longest_gap(renewal)
+
     def add(self, kind, on_change):
         """Keep a copy of `kind`; return its `Mirror`."""
         mirror = self._mirrors[kind] = Mirror(kind, on_change)
@@ -215,3 +218,12 @@
     def _on_health(self, is_up, reason):
         self._role.set_store(is_up)
         self._log.write("store", "regained" if is_up else "lost", why=reason)
+
+
+def _longest_gap(renewal):
+    """
+    Return the seconds without an answer after which the store counts as away.
+
+    An outage of up to one renewal lets no entry lapse; the probes' pause comes on top.
+    """
+    return renewal + PROBE_SECONDS
--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -210,6 +210,7 @@
             self._log.write("daemon", "error", detail=str(error))
             return
         self._fleet.set_bounds(settings)
+        self._copies.set_renewal(settings.entry_renewal)
         if settings.store_address != self._settings.store_address:
             self._store.move_to(settings.store_address)
         changed = settings.differences(self._settings)
--- a/rosemarypath/edgesettings.py
+++ b/rosemarypath/edgesettings.py
@@ -35,6 +35,8 @@
         The bound on repeated sends, over all machines, to one service.
     `cold_factor`
         How far above its announced rate a cold back end may be asked.
+    `version_bound`
+        How long after the announcement of a newer version an older one may begin.
     `checks_fences`
         Whether back ends refuse orders with an old fencing token.
     `address_lifetime`
@@ -58,6 +60,7 @@
     retry_slack: float = 50.0
     retry_window: float = 10.0
     cold_factor: float = 1.5
+    version_bound: float = 5.0
     checks_fences: bool = False
     address_lifetime: float = 5.0
 
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -21,6 +21,7 @@
 LEAST_RATE = 50  # prompt tokens a second; a prompt of half a thousand after 2 s
 DOUBT_SECONDS = 1.0  # an engine that failed to load for a reason of its own counts less
 DOUBTFUL = frozenset({"load_timeout", "engine_silent", "holder_silent"})
+VERSION_MARGIN = 2.0  # seconds for the news, a connection and a place at an engine
 UNKNOWN_VERSION = (0, float("-inf"))
 
 
@@ -62,6 +63,7 @@
     def set_bounds(self, settings):
         """Put the bounds of the `EdgeSettings` in force."""
         self._factor = settings.cold_factor
+        self.version_grace = max(0.0, settings.version_bound - VERSION_MARGIN)
         self._retries = RetryShares(
             settings.retry_ratio, settings.retry_slack, settings.retry_window
         )
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -151,6 +151,7 @@
             zone=self._fleet.zone,
             version=version,
             version_age=at - learned_at,
+            version_grace=self._fleet.version_grace,
             excluded=self._excluded(context, states),
             unloadable=self._fleet.unloadable(states, at) | context.unloadable,
             doubtful=self._fleet.doubtful(at),
--- a/rosemarypath/platform/settings.py
+++ b/rosemarypath/platform/settings.py
@@ -70,6 +70,7 @@
         retry_slack=float(bounds.get("retryBudgetSlack", 50)),
         retry_window=float(bounds.get("budgetWindowS", 10)),
         cold_factor=float(bounds.get("coldOver", 1.5)),
+        version_bound=bounds.get("version_ms", 5000) / MILLISECONDS,
         checks_fences=bool(bounds.get("requireFence", False)),
         address_lifetime=float(bounds.get("ttl_max_s", 5)),
     )
--- a/rosemarypath/reach.py
+++ b/rosemarypath/reach.py
@@ -23,10 +23,10 @@
     """
 
     def __init__(self, longest_gap, on_return=None):
-        self._longest_gap = longest_gap
         self._on_return = on_return or (lambda gap: None)
         self._answered_at = float("-inf")
         self._since = float("inf")
+        self.longest_gap = longest_gap
 
     def age(self, now):
         """Return the seconds since the newest answer, infinite where none is known."""
@@ -34,7 +34,7 @@
 
     def reachable_seconds(self, now):
         """Return for how long no outage is known of; 0.0 while the store is away."""
-        if self.age(now) > self._longest_gap:
+        if self.age(now) > self.longest_gap:
             return 0.0
         return max(0.0, now - self._since)
 
@@ -51,10 +51,10 @@
         if self._answered_at == float("-inf"):
             self._answered_at, self._since = at, since
             return
-        if at < self._since - self._longest_gap:
+        if at < self._since - self.longest_gap:
             return
         gap = since - self._answered_at
-        if gap > self._longest_gap:
+        if gap > self.longest_gap:
             self._answered_at, self._since = at, since
             self._on_return(gap)
             return
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -111,6 +111,15 @@
     assert few < many / 4
 
 
+def test_an_old_version_is_used_for_as_long_as_the_bound_allows(view):
+    fleet = view(Mesh([]))
+    settings = EdgeSettings("own", "z", "r", "a", "b", "c", "d", "e")
+    fleet.set_bounds(dataclasses.replace(settings, version_bound=2.5))
+    assert 0.0 < fleet.version_grace < 1.0
+    fleet.set_bounds(dataclasses.replace(settings, version_bound=1.0))
+    assert fleet.version_grace == 0.0
+
+
 def test_a_load_that_failed_makes_its_engine_doubtful_for_a_while(view):
     mesh = Mesh([LoadReply(False, "engine_silent")])
     fleet = view(mesh)
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -177,6 +177,26 @@
         read_settings(str(path))
 
 
+def test_bounds_are_those_of_the_deployment(tmp_path):
+    document = {
+        "nodeName": "edge-1",
+        "ip": "10.0.0.1",
+        "zone": "z",
+        "listen": {},
+        "portRange": [7600, 7615],
+        "platform": {"address": "10.0.0.9:1"},
+        "heartbeatMs": 800,
+        "bounds": {"drainMs": 1500, "version_ms": 4000, "leaseMs": 2500},
+    }
+    path = tmp_path / "settings.json"
+    path.write_bytes(msgspec.json.encode(document))
+    found = read_settings(str(path))
+    assert found.entry_renewal == 0.8
+    assert found.drain == 1.5
+    assert found.version_bound == 4.0
+    assert found.lease == 2.5
+
+
 WIRE_NAMES = re.compile(
     r"X-Attempt-Id|X-Expect-Instance|X-Not-Executed|X-Token-Usage|X-Deadline-Ms"
     r"|X-Tenant|X-Model|X-Request-Priority|X-Response-Signature|X-Weight-Versions"
