Bound the answers of the product's own back ends and object API

The three readers share one function with a bound of 16 MB. Not covered: an event without end in a stream of the product's own engines.

--- /dev/null
+++ b/rosemarypath/bounded.py
@@ -0,0 +1,29 @@
+"""
+rosemarypath.bounded
+~~~~~~~~~~~~~~~~~~~~
+
+Reads whole answers of back ends and of the object API, up to a bound.
+"""
+
+import aiohttp
+
+__all__ = ["MAX_ANSWER_BYTES", "read_bounded"]
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024  # some answers of that size fit into a machine
+
+
+async def read_bounded(response, most=MAX_ANSWER_BYTES):
+    """
+    Return the whole body of an aiohttp response.
+
+    Raises `aiohttp.ClientPayloadError`, and closes the connection, beyond `most` bytes.
+    """
+    parts = []
+    size = 0
+    async for part in response.content.iter_any():
+        parts.append(part)
+        size += len(part)
+        if size > most:
+            response.close()
+            raise aiohttp.ClientPayloadError(f"a body of over {most} bytes")
+    return b"".join(parts)
--- a/rosemarypath/store.py
+++ b/rosemarypath/store.py
@@ -12,6 +12,7 @@
 import aiohttp
 import msgspec
 
+from rosemarypath.bounded import read_bounded
 from rosemarypath.errors import (
     ConflictError,
     NotFoundError,
@@ -145,7 +146,7 @@
             async with self._get_session().request(
                 method, self._base + path, data=body
             ) as response:
-                payload = await response.read()
+                payload = await read_bounded(response)
                 status = response.status
         except (aiohttp.ClientError, asyncio.TimeoutError) as error:
             raise self._unavailable(f"{method} {path} failed ({error!r})") from error
--- a/rosemarypath/upstream.py
+++ b/rosemarypath/upstream.py
@@ -12,6 +12,7 @@
 import aiohttp
 import msgspec
 
+from rosemarypath.bounded import read_bounded
 from rosemarypath.log import get_logger
 from rosemarypath.orders import FENCE_HEADER
 from rosemarypath.outcome import NotRun, Unknown
@@ -261,7 +262,7 @@
 
     async def _read_body(self, response):
         try:
-            return await response.read()
+            return await read_bounded(response)
         finally:
             response.release()
 
@@ -298,7 +299,7 @@
             async with self._fresh.get(
                 url, timeout=self._bound(CONNECT_TIMEOUT)
             ) as response:
-                body = await response.read()
+                body = await read_bounded(response)
                 status = response.status
         except (aiohttp.ClientError, asyncio.TimeoutError):
             return Unknown(502, "back_end_lost", "the back end cannot be reached")
