--- a/standins/simulatedfleet.py
+++ b/standins/simulatedfleet.py
@@ -18,7 +18,7 @@
 
 __all__ = ["BEAT", "Daemon", "FakeMesh", "Network", "Play"]
 
-OUTAGE_SECONDS = 1.7
+OUTAGE_SECONDS = 1.7  # without an answer, as daemons are told for the first users
 BEAT = heartbeats.GROUPED_BEAT_SECONDS
 
 
