Test that all daemons tell outages alike, in one group and in several

Played in simulated time: an answer to one daemon is known to all within a second, no message makes an absent store seem there, and the death of all leads at once does not make a present one seem away.

--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -152,3 +152,62 @@
                 None,
                 after.fleet.held["engine"],
             )
+
+
+@pytest.mark.parametrize("total", [9, 40])
+def test_an_answer_of_the_store_to_one_daemon_is_known_to_all(play_of, total):
+    play = play_of(total)
+    watching = play.daemons[5].copies
+    for _ in range(round(6.0 / BEAT)):
+        watching.health.note_answer(play.now)
+        watching.reach.note_answer(play.now)
+        play.beat(BEAT)
+    for daemon in play.daemons:
+        assert daemon.copies.reach.has_settled(play.now)
+        assert daemon.copies.reach.age(play.now) <= 1.0
+
+
+@pytest.mark.parametrize("total", [9, 40])
+def test_while_nobody_has_an_answer_no_message_makes_the_store_seem_there(
+    play_of, total
+):
+    play = play_of(total)
+    watching = play.daemons[5].copies
+    for at in (0.0, 1.0, 2.0):
+        watching.health.note_answer(at)
+        watching.reach.note_answer(at)
+        play.beat(1.0)
+    play.beat(4.0)
+    for daemon in play.daemons:
+        assert daemon.copies.reach.reachable_seconds(play.now) == 0.0
+    returned_at = play.now
+    for _ in range(round(1.5 / BEAT)):
+        watching.health.note_answer(play.now)
+        watching.reach.note_answer(play.now)
+        play.beat(BEAT)
+    for daemon in play.daemons:
+        assert not daemon.copies.reach.has_settled(returned_at + 1.5)
+    for _ in range(round(2.0 / BEAT)):
+        watching.health.note_answer(play.now)
+        watching.reach.note_answer(play.now)
+        play.beat(BEAT)
+    for daemon in play.daemons:
+        assert daemon.copies.reach.has_settled(play.now)
+
+
+def test_the_death_of_each_lead_does_not_make_the_store_seem_away(play_of):
+    play = play_of(40)
+    for step in range(round(12.0 / BEAT)):
+        if step == round(5.0 / BEAT):
+            leads = {d.peers.lead(False, play.now) for d in play.daemons}
+            for daemon in play.daemons:
+                if daemon.machine.name in leads:
+                    play.turn_off(daemon)
+        # Whoever is first watches, so that others take over from dead machines.
+        for daemon in play.running()[:2]:
+            daemon.copies.health.note_answer(play.now)
+            daemon.copies.reach.note_answer(play.now)
+        play.beat(BEAT)
+        if play.now > 3.0:
+            for daemon in play.running():
+                assert daemon.copies.reach.has_settled(play.now)
