--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -17,6 +17,7 @@
 
 PREFIX = "/api/objects/"
 PAGE = 50
+SILENT_POLL = 0.05
 TEXT = [(b"Content-Type", b"application/json")]
 
 
@@ -25,8 +26,8 @@
     Objects in memory.
 
     `fault` is empty, ``busy`` (503), ``silent``, ``reset`` or ``lost`` (writes are
-    carried out and not answered). `refused` holds addresses of its own, opened by
-    `open_for`, at which everybody is turned away.
+    carried out and not answered). `refused` and `silent` hold addresses of its own,
+    opened by `open_for`, at which everybody is turned away or left without an answer.
     """
 
     def __init__(self, address):
@@ -39,6 +40,7 @@
         self.revision = 1
         self.fault = ""
         self.refused = set()
+        self.silent = set()
         self.calls = 0
 
     async def start(self):
@@ -58,10 +60,11 @@
 
     def _new_listener(self, address):
         async def handle(request, connection):
+            await self._wait_while_silent(address)
             if address in self.refused:
                 connection.answer(503, [])
-            else:
-                await self._handle(request, connection)
+                return
+            await self._handle(request, connection)
 
         return Listener(address, handle, IngressLimits())
 
@@ -106,6 +109,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    async def _wait_while_silent(self, address):
+        while address in self.silent:
+            await asyncio.sleep(SILENT_POLL)
+
     async def _handle(self, request, connection):
         self.calls += 1
         if self.fault == "busy":
