Let each daemon ask for itself before silent watchers look like an outage

The look costs a call where it is not needed.

Before: the new test in tests/test_peers.py has no way to pass. After: it passes.

--- a/rosemarypath/copies.py
+++ b/rosemarypath/copies.py
@@ -32,6 +32,7 @@
 
 __all__ = ["StoreCopies"]
 
+LOOK_MARGIN = 0.6  # seconds for some heartbeats and a call, before an outage is told
 RELAY_SECONDS = 0.15  # a copy behind a peer's for longer than an event's way is asked
 
 
@@ -72,6 +73,7 @@
         self._probe_kind = probe_kind
         self._fresh_kind = fresh_kind
         self._role = WatchRole()
+        self._probe_role = WatchRole()
         self._watchers = []
         self._behind = {}
         self._mirrors = {}
@@ -83,6 +85,11 @@
         """Return whether this daemon watches the store for others."""
         return self._role.is_on
 
+    @property
+    def is_probing(self):
+        """Return whether this daemon asks whether the store is there."""
+        return self._probe_role.is_due
+
     @property
     def revisions(self):
         """Return the revision of the last change of each known kind."""
@@ -113,7 +120,7 @@
                 mirror,
                 self.health,
                 self.reach,
-                self._role,
+                self._probe_role if mirror.kind == self._probe_kind else self._role,
                 self._pass_events,
                 seconds_of=self._watch_seconds,
             )
@@ -133,13 +140,21 @@
         return WATCH_SECONDS
 
     def choose_watchers(self, now):
-        """Watch the store if this daemon is among those that do so for all."""
+        """
+        Watch the store if this daemon is among those that do so for all.
+
+        Each daemon asks for itself when nobody is known to have had an answer for
+        nearly as long as an outage: those that watch may all be cut off.
+        """
         watchers = self._peers.watchers(self.health.is_up, now)
         if watchers != self._watchers:
             self._watchers = watchers
             self._log.write("store", "watchers", names=watchers)
         own = self._peers.own.name
-        self._role.set(own in watchers or self._peers.heard(now) == [own])
+        is_on = own in watchers or self._peers.heard(now) == [own]
+        is_unsure = self.reach.age(now) > self.reach.longest_gap - LOOK_MARGIN
+        self._role.set(is_on)
+        self._probe_role.set(is_on or is_unsure)
 
     def note_revisions(self, identity, revisions, now):
         """Compare the revisions that a peer names with the own copies."""
@@ -217,6 +232,7 @@
 
     def _on_health(self, is_up, reason):
         self._role.set_store(is_up)
+        self._probe_role.set_store(is_up)
         self._log.write("store", "regained" if is_up else "lost", why=reason)
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from rosemarypath.copies import StoreCopies
 from rosemarypath.machine import Machine
 from rosemarypath.peers import WATCHERS, Peers
 
@@ -48,3 +49,33 @@
     for name in ("m1", "m2", "m3", "m4", "m5"):
         peers.by_name[name].has_store = False
     assert sorted(peers.watchers(True, 5.0)) == ["m0", "m6", "m7"]
+
+
+class Log:
+    """Takes the place of a `DecisionLog`."""
+
+    def write(self, part, event, **fields):
+        """Drop the line."""
+
+
+def test_a_daemon_asks_for_itself_before_silent_watchers_look_like_an_outage(peers):
+    copies = StoreCopies(None, peers, None, 1.2, Log(), "servers", "holders")
+    copies.health.note_answer(5.0)
+    copies.reach.note_answer(5.0)
+    for peer in peers.by_name.values():
+        peer.heard_at = 6.5
+    peers.own = machine(max(set(range(8)) - _numbers(peers.watchers(True, 5.0))))
+    peers.by_name.pop(peers.own.name)
+    copies.choose_watchers(5.2)
+    assert not copies.is_watching
+    assert not copies.is_probing
+    copies.choose_watchers(5.0 + copies.reach.longest_gap - 0.5)
+    assert not copies.is_watching
+    assert copies.is_probing
+    copies.reach.note_answer(6.4)
+    copies.choose_watchers(6.5)
+    assert not copies.is_probing
+
+
+def _numbers(names):
+    return {int(name.removeprefix("m")) for name in names}
