Ask whether the store is there by one watch of a daemon, not by all

Cause: losing the store woke all six watches of a daemon, each of which then asks once a second while it is away: 8 x 6 calls a second in a small fleet, 61 x 6 in a grown one, of 450 daemons more than the store's rate.

Change: only the kind that probes is woken; the others wait until the daemon watches again, and then ask at once. The role is a plain switch again.

Tests: tests/test_mirror.py still finds the store at once after one broken watch.

--- a/rosemarypath/copies.py
+++ b/rosemarypath/copies.py
@@ -88,7 +88,7 @@
     @property
     def is_probing(self):
         """Return whether this daemon asks whether the store is there."""
-        return self._probe_role.is_due
+        return self._probe_role.is_on
 
     @property
     def revisions(self):
@@ -154,7 +154,7 @@
         is_on = own in watchers or self._peers.heard(now) == [own]
         is_unsure = self.reach.age(now) > self.reach.longest_gap - LOOK_MARGIN
         self._role.set(is_on)
-        self._probe_role.set(is_on or is_unsure)
+        self._probe_role.set(is_on or is_unsure or not self.health.is_up)
 
     def note_revisions(self, identity, revisions, now):
         """Compare the revisions that a peer names with the own copies."""
@@ -231,8 +231,9 @@
         self._log.write("store", "returned", away=round(gap, 3))
 
     def _on_health(self, is_up, reason):
-        self._role.set_store(is_up)
-        self._probe_role.set_store(is_up)
+        if not is_up:
+            # One broken watch may be all there is to it, which a probe shows at once.
+            self._probe_role.set(True)
         self._log.write("store", "regained" if is_up else "lost", why=reason)
 
 
--- a/rosemarypath/mirror.py
+++ b/rosemarypath/mirror.py
@@ -146,42 +146,31 @@
 
 class WatchRole:
     """
-    Whether this daemon watches the store for others, or learns from those that do.
+    Whether this daemon watches the store, or learns from those that do.
 
     The load answered here: each waiting watch is a priced call, and every daemon of a
     large fleet that watches everything would use up what the store allows.
     """
 
     def __init__(self):
-        self._is_due = asyncio.Event()
-        self._is_due.set()
-        self._has_store = False
-        self.is_on = True
+        self._is_on = asyncio.Event()
+        self._is_on.set()
 
     @property
-    def is_due(self):
-        """Return whether to call the store, in the role or to find whether it is up."""
-        return self._is_due.is_set()
+    def is_on(self):
+        """Return whether this daemon watches."""
+        return self._is_on.is_set()
 
     def set(self, is_on):
         """Put a new role in force."""
-        self.is_on = is_on
-        self._update()
-
-    def set_store(self, has_store):
-        """Take over whether the store answered the last call."""
-        self._has_store = has_store
-        self._update()
-
-    async def wait_until_due(self):
-        """Return when this daemon is to call the store."""
-        await self._is_due.wait()
-
-    def _update(self):
-        if self.is_on or not self._has_store:
-            self._is_due.set()
+        if is_on:
+            self._is_on.set()
         else:
-            self._is_due.clear()
+            self._is_on.clear()
+
+    async def wait_until_on(self):
+        """Return when this daemon is to watch."""
+        await self._is_on.wait()
 
 
 class Watcher:
@@ -219,8 +208,8 @@
         pause = RETRY_FIRST
         is_look = False
         while True:
-            if not self._needs_list and not self._role.is_due:
-                await self._role.wait_until_due()
+            if not self._needs_list and not self._role.is_on:
+                await self._role.wait_until_on()
                 is_look = True
             try:
                 await self._step(is_look)
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -157,12 +157,12 @@
 
 def test_a_daemon_that_lost_one_watch_finds_at_once_that_the_store_is_there():
     store = SplitStore([])
-    role = WatchRole()
+    roles = {"long": WatchRole(), "short": WatchRole()}
     states = []
 
     def on_health(is_up, reason):
         states.append(is_up)
-        role.set_store(is_up)
+        roles["short"].set(not is_up)
 
     health = StoreHealth(on_health)
 
@@ -170,6 +170,7 @@
         for kind in ("long", "short"):
             mirror = Mirror(kind, lambda changed, removed: None)
             passed = lambda mirror, since, events: None  # noqa: E731
+            role = roles[kind]
             watcher = Watcher(store, mirror, health, StoreReach(1.7), role, passed)
             tasks.append(asyncio.create_task(watcher.run()))
             await asyncio.sleep(0.05)
