--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -61,15 +61,20 @@
     return fleet.settings[0].drain
 
 
+async def check_removal(fleet, clock):
+    """Remove an entry; check that its back end gets nothing after the bound."""
+    fleet.store.remove("servers", fleet.ledgers[0].name)
+    removed_at = clock()
+    assert await call_all(fleet, drain_bound(fleet) + 1.5) == {200}
+    assert last_arrival(fleet.ledgers[0]) - removed_at <= drain_bound(fleet)
+
+
 @pytest.mark.parametrize("turned_away", [(0, 1), (0, 1, 2), (1, 2, 3, 4)])
 def test_daemons_that_lost_calls_do_not_send_to_a_removed_back_end(turned_away):
     async def scenario(fleet, clock):
         await turn_away(fleet, turned_away, 1.5)
         await asyncio.sleep(0.3)
-        fleet.store.remove("servers", fleet.ledgers[0].name)
-        removed_at = clock()
-        assert await call_all(fleet, drain_bound(fleet) + 1.5) == {200}
-        assert last_arrival(fleet.ledgers[0]) - removed_at <= drain_bound(fleet)
+        await check_removal(fleet, clock)
 
     play(scenario)
 
@@ -79,10 +84,7 @@
         for _ in range(3):
             fleet.store.drop_connections()
             await asyncio.sleep(0.4)
-        fleet.store.remove("servers", fleet.ledgers[0].name)
-        removed_at = clock()
-        assert await call_all(fleet, drain_bound(fleet) + 1.5) == {200}
-        assert last_arrival(fleet.ledgers[0]) - removed_at <= drain_bound(fleet)
+        await check_removal(fleet, clock)
 
     play(scenario)
 
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -154,14 +154,23 @@
             )
 
 
+def note_store_answer(play, daemon):
+    """Let the store answer one daemon now."""
+    daemon.copies.health.note_answer(play.now)
+    daemon.copies.reach.note_answer(play.now)
+
+
+def beat_with_store(play, daemon, seconds):
+    """Let all daemons beat for `seconds` while the store answers one of them."""
+    for _ in range(round(seconds / BEAT)):
+        note_store_answer(play, daemon)
+        play.beat(BEAT)
+
+
 @pytest.mark.parametrize("total", [9, 40])
 def test_an_answer_of_the_store_to_one_daemon_is_known_to_all(play_of, total):
     play = play_of(total)
-    watching = play.daemons[5].copies
-    for _ in range(round(6.0 / BEAT)):
-        watching.health.note_answer(play.now)
-        watching.reach.note_answer(play.now)
-        play.beat(BEAT)
+    beat_with_store(play, play.daemons[5], 6.0)
     for daemon in play.daemons:
         assert daemon.copies.reach.has_settled(play.now)
         assert daemon.copies.reach.age(play.now) <= 1.0
@@ -172,25 +181,15 @@
     play_of, total
 ):
     play = play_of(total)
-    watching = play.daemons[5].copies
-    for at in (0.0, 1.0, 2.0):
-        watching.health.note_answer(at)
-        watching.reach.note_answer(at)
-        play.beat(1.0)
+    beat_with_store(play, play.daemons[5], 3.0)
     play.beat(4.0)
     for daemon in play.daemons:
         assert daemon.copies.reach.reachable_seconds(play.now) == 0.0
     returned_at = play.now
-    for _ in range(round(1.5 / BEAT)):
-        watching.health.note_answer(play.now)
-        watching.reach.note_answer(play.now)
-        play.beat(BEAT)
+    beat_with_store(play, play.daemons[5], 1.5)
     for daemon in play.daemons:
         assert not daemon.copies.reach.has_settled(returned_at + 1.5)
-    for _ in range(round(2.0 / BEAT)):
-        watching.health.note_answer(play.now)
-        watching.reach.note_answer(play.now)
-        play.beat(BEAT)
+    beat_with_store(play, play.daemons[5], 2.0)
     for daemon in play.daemons:
         assert daemon.copies.reach.has_settled(play.now)
 
@@ -205,8 +204,7 @@
                     play.turn_off(daemon)
         # Whoever is first watches, so that others take over from dead machines.
         for daemon in play.running()[:2]:
-            daemon.copies.health.note_answer(play.now)
-            daemon.copies.reach.note_answer(play.now)
+            note_store_answer(play, daemon)
         play.beat(BEAT)
         if play.now > 3.0:
             for daemon in play.running():
