Take no request so late in a planned stop that it may be cut

A request that is sent up to 3 s after the signal may still be at work at the end; the daemon took requests for 3.2 s.

Change: 2.8 s. Requests after that get "not run" or find the connection closed unread, and go to another machine.

Before: the new test in tests/test_edge.py failed (the late stream was begun). After: it passes, three times.

--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -35,7 +35,7 @@
 LINK_SILENCE = 0.8  # seconds without an answer after which a link is dialled anew
 HOUSEKEEPING_SECONDS = 1.0  # between two looks at silent machines and idle connections
 DIRECTORY_TTL = 1  # seconds that callers keep an answer of the directory
-STOP_ACCEPT = 3.2  # seconds after SIGTERM in which requests are still taken
+STOP_ACCEPT = 2.8  # seconds after SIGTERM; what is sent after 3 s must not be cut
 STOP_MARGIN = 0.5  # seconds before the kill at which the process ends by itself
 STOP_POLL = 0.05  # seconds between two looks whether requests are still on their way
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from rosemarypath.edge import EdgeDaemon
-from rosemarypath.errors import SettingsError
+from rosemarypath.errors import ConnectError, ResponseError, SettingsError
 from rosemarypath.platform.dialect import PlatformDialect
 from tests.edgefleet import configuration, running_fleet
 
@@ -80,6 +80,34 @@
     play(scenario)
 
 
+TAKEN_SECONDS = 3.0  # requests sent later than this after SIGTERM must not be cut
+
+
+def test_a_request_sent_late_in_a_planned_stop_is_refused_not_begun_and_cut():
+    async def scenario(fleet):
+        route = {"name": "long", "pathPrefix": "/long/", "kind": "streaming"}
+        route.update(maxAttempts=1, timeoutMs=12000)
+        fleet.configure(configuration(2, routes=[route]))
+        await asyncio.sleep(0.5)
+        for engine in fleet.engines:
+            engine.faults.slow_events = 0.85
+        long = {"method": b"POST", "model": True, "deadline": 12000}
+        early = asyncio.create_task(fleet.call(b"/long/x", **long))
+        await asyncio.sleep(0.2)
+        stopping = asyncio.create_task(fleet.daemons[0].stop())
+        await asyncio.sleep(TAKEN_SECONDS + 0.05)
+        try:
+            status = (await fleet.call(b"/long/x", id="late", **long)).status
+        except (ConnectError, ResponseError):
+            status = 503  # the connection was closed before the request was read
+        assert status == 503
+        assert sum(engine.runs("late") for engine in fleet.engines) == 0
+        assert (await early).status == 200
+        await stopping
+
+    play(scenario)
+
+
 def test_a_daemon_that_the_store_turns_away_learns_changes_from_its_peers():
     async def scenario(fleet):
         fleet.store.refused.add(fleet.settings[1].store_address)
