Give a successor a higher fencing token than an owner that was ahead

Cause: an owner that kept a resource through a new roster raised its fencing token as soon as it had adopted the roster itself. Where it was cut off before another member read that revision, its successor acted under the older one with a lower token. The trace of the listed example: n6/1 adopts revision 22 at 119.00 (barrier 21) and acts with 22528; the store goes down, n6/1 is cut off; at 121.25, after n6/1's lease (120.5) has ended, n3/2 acts under revision 21 with 21505. A back end that checks tokens would refuse the new owner and accept late orders of the old one. Ruled out: two valid leases at a time (the old owner's lease ended 0.75 s before the successor acted), a wrong proof (4 witnesses of the set in force testified). Change: a held resource keeps its token until every member has adopted the new roster.

--- a/rosemarypath/ownership.py
+++ b/rosemarypath/ownership.py
@@ -27,7 +27,9 @@
 
     The new owner of a resource that moved may act only after the barrier has reached
     the roster revision, that is when every member has adopted it or is proven fenced.
-    The owner of a resource that did not move continues without a pause.
+    The owner of a resource that did not move continues without a pause, with its
+    previous fencing token until the barrier: a successor that has not yet adopted the
+    new revision would otherwise get a lower token.
 
     The first candidate of each resource is cached and updated when the roster changes,
     so that an added member costs one hash per resource.
@@ -38,7 +40,7 @@
         self._fencing = fencing
         self._roster = Roster()
         self._barrier = 0
-        self._held = set()
+        self._held = {}
         self._candidates = {}
         self._first_candidates = {}
 
@@ -59,7 +61,8 @@
         self._candidates = {c.partition("/")[0]: c for c in roster.candidates}
         self._update_first_candidates(previous)
         released = {r for r in self._held if self.owner_of(r) != self._identity}
-        self._held -= released
+        for resource in released:
+            del self._held[resource]
         return released
 
     def _update_first_candidates(self, previous):
@@ -98,17 +101,19 @@
         """
         Return this daemon's fencing token for `resource`, or ``None``.
 
-        It is ``None`` if another daemon is the owner or the barrier is not reached.
-        Numbers grow with the roster revision, then with the position in the order of
-        succession.
+        It is ``None`` if another daemon is the owner, or if the resource moved here and
+        the barrier is not reached. Tokens grow with the newest roster revision that
+        every member has adopted, then with the position in the order of succession.
         """
         if self.owner_of(resource) != self._identity:
-            self._held.discard(resource)
+            self._held.pop(resource, None)
             return None
-        if resource not in self._held:
-            if self._barrier < self._roster.revision:
-                return None
-            self._held.add(resource)
+        if self._barrier >= self._roster.revision:
+            self._held[resource] = self._compute_fence(resource)
+        return self._held.get(resource)
+
+    def _compute_fence(self, resource):
+        """Return this owner's fencing token under the current roster."""
         position = 0
         if self._find_first_candidate(resource) != self._identity:
             position = self._roster.rank_owners(resource).index(self._identity)
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -114,6 +114,19 @@
     world.run(int(seconds / ROUND), random)
 
 
+def test_successor_behind_by_a_revision_acts_with_a_higher_token():
+    machine = FailoverMachine()
+    machine.start(size=7, zones=4, random=Random(85395))
+    machine.set_store_up(True)
+    machine.repair_all(Random(1714))
+    machine.run_rounds(15, Random(5638))
+    machine.restart(index=3, rounds=1, random=Random(1024))
+    machine.isolate_owner("weights", 13, Random(316))
+    machine.set_store_up(False)
+    machine.isolate_owner("backend/x", 10, Random(1059610))
+    assert machine.world.last_acts["backend/x"][0] == "n3/2"
+
+
 def test_every_resource_gets_a_new_owner_while_the_store_is_down():
     random = Random(1)
     world = World(5, 3)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -171,9 +171,24 @@
     owner.fence_of("r")
     newer = msgspec.structs.replace(five_machines, revision=2)
     assert owner.adopt(newer) == set()
+    assert owner.fence_of("r") == FENCES_PER_REVISION
+    owner.raise_barrier(2)
     assert owner.fence_of("r") == 2 * FENCES_PER_REVISION
 
 
+def test_successor_behind_by_a_revision_has_the_higher_token(owner, five_machines):
+    owner.raise_barrier(1)
+    owner.fence_of("r")
+    owner.adopt(msgspec.structs.replace(five_machines, revision=2))
+    first, second = five_machines.rank_owners("r")[:2]
+    fencing = Fencing()
+    successor = Ownership(second, fencing)
+    successor.adopt(five_machines)
+    successor.raise_barrier(1)
+    fencing.add_reported_proof(first, five_machines)
+    assert successor.fence_of("r") > owner.fence_of("r")
+
+
 def test_successor_owns_the_resource_once_the_owner_is_fenced(five_machines):
     first, second = five_machines.rank_owners("r")[:2]
     fencing = Fencing()
