Reserve a loaded adapter for the requests that waited for it

When all other adapters of a full engine are in use, the new one is the only candidate for eviction, and the requests of other daemons that waited for it have not arrived yet. Change: a daemon counts the requests that wait for an adapter at an engine, from the order of the load to the send, and tells the count in heartbeats and digests; the controller evicts no adapter that is awaited. Until heartbeats have told, an adapter that was loaded for another daemon is reserved for a bounded time: two heartbeats in a small fleet, 1 s where digests relay them. choice and engineadapters move to a subpackage without input and output, rosemarypath/scheduling. Awaited requests reach all of 9, 40 and 195 daemons within the reservation (test_heartbeats).

--- a/bench/edgecosts.py
+++ b/bench/edgecosts.py
@@ -15,11 +15,11 @@
 
 from rosemarypath.backend import ENGINE, BackEnd, BackEndEntry, LoadedModel
 from rosemarypath.backendstate import BackEndState
-from rosemarypath.choice import ChoiceFacts, choose_back_end
 from rosemarypath.decisionlog import DecisionLog
 from rosemarypath.demand import Demand
 from rosemarypath.frames import Batch, Frame
 from rosemarypath.peermessages import PeerState
+from rosemarypath.scheduling.choice import ChoiceFacts, choose_back_end
 from rosemarypath.sse import EventSplitter
 
 __all__ = ["main"]
--- a/bench/simulation/choices.py
+++ b/bench/simulation/choices.py
@@ -5,8 +5,8 @@
 Policies for choosing an engine, to be compared with each other.
 """
 
-from rosemarypath.choice import Choice, Refusal, choose_back_end
 from rosemarypath.registry import Registry
+from rosemarypath.scheduling.choice import Choice, Refusal, choose_back_end
 
 __all__ = ["choice_policy"]
 
--- a/bench/simulation/engine.py
+++ b/bench/simulation/engine.py
@@ -8,7 +8,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from rosemarypath.engineadapters import EngineAdapters
+from rosemarypath.scheduling.engineadapters import EngineAdapters
 
 __all__ = ["SimulatedEngine", "Stream"]
 
--- a/bench/simulation/world.py
+++ b/bench/simulation/world.py
@@ -15,8 +15,8 @@
 from bench.simulation.engine import SimulatedEngine, Stream
 from rosemarypath.backend import ENGINE, BackEnd, BackEndEntry, LoadedModel
 from rosemarypath.backendstate import BackEndState
-from rosemarypath.choice import ChoiceFacts, Refusal
 from rosemarypath.demand import Demand
+from rosemarypath.scheduling.choice import ChoiceFacts, Refusal
 
 __all__ = ["Outcome", "World"]
 
--- a/rosemarypath/backendstate.py
+++ b/rosemarypath/backendstate.py
@@ -20,12 +20,18 @@
 
 
 class RequestLoad:
-    """Requests in flight at one back end, as counted by one daemon."""
+    """
+    Requests in flight at one back end, as counted by one daemon.
+
+    `adapters` counts them by adapter; `awaited` counts the requests that wait until an
+    adapter is loaded, or are about to be sent since it is.
+    """
 
     def __init__(self):
         self.running = 0
         self.prompt_tokens = 0
         self.adapters = Counter()
+        self.awaited = Counter()
         self.prompt_rate = 0.0
 
 
@@ -92,13 +98,13 @@
         age = max(0.0, now - self._prompt_at)
         return self._prompt_rate * exp(-age / RATE_SECONDS)
 
-    def record_peer_load(self, peer, load, adapters, now):
+    def record_peer_load(self, peer, load, adapters, now, awaited=()):
         """
         Record the requests that `peer` has in flight here.
 
         `load` is a tuple of running requests, unread prompt tokens and prompt tokens
         per second; `adapters` counts the requests by adapter, ``None`` keeps the counts
-        of the last report.
+        of the last report. `awaited` counts the waiting requests by adapter.
         """
         known, _ = self._peer_loads.get(peer, (None, 0.0))
         updated = RequestLoad()
@@ -107,6 +113,7 @@
             updated.adapters.update(adapters)
         elif known is not None:
             updated.adapters = known.adapters
+        updated.awaited.update(awaited)
         self._peer_loads[peer] = (updated, now)
         for adapter in updated.adapters:
             self.last_used[adapter] = now
@@ -125,6 +132,26 @@
             if now - at < PEER_LOAD_SECONDS
         )
 
+    def is_adapter_awaited(self, adapter, now):
+        """Return whether any daemon has a request that waits for `adapter` here."""
+        if self.own.awaited[adapter] > 0:
+            return True
+        return any(
+            load.awaited[adapter]
+            for load, at in self._peer_loads.values()
+            if now - at < PEER_LOAD_SECONDS
+        )
+
+    def begin_wait(self, adapter):
+        """Count a request that waits until `adapter` is loaded."""
+        self.own.awaited[adapter] += 1
+
+    def end_wait(self, adapter):
+        """Count a request that waited for `adapter` and was sent, or gave up."""
+        self.own.awaited[adapter] -= 1
+        if not self.own.awaited[adapter]:
+            del self.own.awaited[adapter]
+
     def begin_request(self, demand, now):
         """Count a request that is being sent."""
         self.own.running += 1
--- a/rosemarypath/controllermanager.py
+++ b/rosemarypath/controllermanager.py
@@ -11,11 +11,14 @@
 from rosemarypath.enginecontroller import EngineController
 from rosemarypath.errors import RosemarypathError
 from rosemarypath.peermessages import LoadAsk, LoadReply
+from rosemarypath.scheduling.reservations import Reservations
 
 __all__ = ["ControllerManager"]
 
 POLL_SECONDS = 0.3  # between two checks of the leases
 START_POLL_SECONDS = 0.05  # the same just after a start, until a lease is held
+DIRECT_REPORT_SECONDS = 0.25  # two heartbeats of a small fleet
+RELAYED_REPORT_SECONDS = 1.0  # a heartbeat, a full digest of its group and a relay
 
 
 class ControllerManager:
@@ -100,10 +103,17 @@
             self._log,
             # The previous process of this machine sent its last orders before this.
             self._peers.started_at,
+            Reservations(self._report_delay_seconds()),
         )
         self._fleet.controllers[state.name] = controller
         self._tasks[state.name] = self._spawn(controller.run())
 
+    def _report_delay_seconds(self):
+        """Return how long after a send each daemon's requests in flight are known."""
+        return (
+            RELAYED_REPORT_SECONDS if self._peers.is_grouped else DIRECT_REPORT_SECONDS
+        )
+
     def _end_controller(self, name):
         self._fleet.controllers.pop(name, None)
         task = self._tasks.pop(name, None)
@@ -114,5 +124,7 @@
         controller = self._fleet.controllers.get(ask.back_end)
         if controller is None:
             return LoadReply(False, "not_holder")
-        outcome = await controller.ensure_loaded(ask.model, ask.adapter, ask.seconds)
+        outcome = await controller.ensure_loaded(
+            ask.model, ask.adapter, ask.seconds, is_remote=True
+        )
         return LoadReply(outcome.is_loaded, outcome.reason)
--- a/rosemarypath/enginecontroller.py
+++ b/rosemarypath/enginecontroller.py
@@ -15,7 +15,7 @@
 
 from rosemarypath.backend import LoadedModel
 from rosemarypath.clock import lease_now, now
-from rosemarypath.engineadapters import EngineAdapters, PendingLoad
+from rosemarypath.scheduling.engineadapters import EngineAdapters, PendingLoad
 
 __all__ = ["EngineController", "LoadOutcome"]
 
@@ -43,12 +43,17 @@
 
 @dataclass
 class _WantedAdapter:
-    """An adapter that requests wait for; `waiters` are their futures."""
+    """
+    An adapter that requests wait for.
+
+    `waiters` are their futures; `has_remote` tells whether one is of another daemon.
+    """
 
     model: str
     adapter: str
     since: float
     waiters: list
+    has_remote: bool = False
 
     @property
     def name(self):
@@ -75,14 +80,27 @@
         The `DecisionLog`.
     `ordered_at`
         The latest time at which this machine may have sent orders before.
+    `reservations`
+        The `Reservations` of loaded adapters for requests at other daemons.
     """
 
-    def __init__(self, state, client, leases, plan_of, version_of, log, ordered_at):
+    def __init__(
+        self,
+        state,
+        client,
+        leases,
+        plan_of,
+        version_of,
+        log,
+        ordered_at,
+        reservations,
+    ):
         self._client = client
         self._leases = leases
         self._plan_of = plan_of
         self._version_of = version_of
         self._log = log
+        self._reservations = reservations
         self._wanted = {}
         self._wake_up = asyncio.Event()
         self._order_count = None
@@ -116,10 +134,17 @@
         is_recent = now - self._unanswered_at < UNRESPONSIVE_SECONDS
         return self._unanswered >= MAX_UNANSWERED_ORDERS and is_recent
 
-    async def ensure_loaded(self, model, adapter, seconds):
-        """Wait up to `seconds` until the adapter is loaded; return a `LoadOutcome`."""
+    async def ensure_loaded(self, model, adapter, seconds, is_remote=False):
+        """
+        Wait up to `seconds` until the adapter is loaded; return a `LoadOutcome`.
+
+        `is_remote` tells that the request waits at another daemon, whose heartbeats
+        report later that it uses the adapter.
+        """
         name = f"{model}/{adapter}"
         if self._is_current(name):
+            if is_remote:
+                self._reservations.reserve(name, now())
             return LoadOutcome(True)
         if self.is_unresponsive(now()):
             return LoadOutcome(False, "engine_silent")
@@ -128,6 +153,7 @@
         if wanted is None:
             wanted = self._wanted[name] = _WantedAdapter(model, adapter, now(), [])
         wanted.waiters.append(future)
+        wanted.has_remote = wanted.has_remote or is_remote
         self._wake_up.set()
         try:
             async with asyncio.timeout(seconds):
@@ -155,6 +181,7 @@
         """Discard the known state: the engine restarted or the lease was elsewhere."""
         self._order_count = None
         self._adapters.clear_pending()
+        self._reservations.clear()
 
     def record_missing(self, name):
         """Record that the engine answered that `name` is not loaded."""
@@ -292,7 +319,6 @@
     def _finish_load(self, name, version):
         self._adapters.end_load(name)
         self._adapters.loaded[name] = version
-        # Waiting requests use it next, so it must not be evicted before.
         self.state.last_used[name] = now()
         self._publish_state()
         self._resolve(name, LoadOutcome(True))
@@ -337,12 +363,20 @@
         """Unload the least recently used adapter; return whether a place is free."""
         at = now()
         name = self._adapters.choose_victim(
-            lambda n: self.state.is_adapter_in_use(n, at),
+            lambda n: self._is_needed(n, at),
             self.state.last_used,
             self._version_of,
         )
         return name is not None and await self._unload(name, fence)
 
+    def _is_needed(self, name, at):
+        """Return whether requests use an adapter, or are about to."""
+        return (
+            self.state.is_adapter_in_use(name, at)
+            or self.state.is_adapter_awaited(name, at)
+            or self._reservations.is_reserved(name, at)
+        )
+
     async def _unload(self, name, fence):
         """Unload an adapter; return whether its place is already free."""
         model, _, adapter = name.partition("/")
@@ -409,6 +443,8 @@
         wanted = self._wanted.pop(name, None)
         if wanted is None:
             return
+        if outcome.is_loaded and wanted.has_remote:
+            self._reservations.reserve(name, now())
         for waiter in wanted.waiters:
             if not waiter.done():
                 waiter.set_result(outcome)
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -8,9 +8,9 @@
 from rosemarypath import clock
 from rosemarypath.backend import ENGINE, LoadedModel
 from rosemarypath.backendstate import BackEnds
-from rosemarypath.choice import is_within_cold_rate
 from rosemarypath.enginecontroller import LoadOutcome
 from rosemarypath.peermessages import LoadAsk
+from rosemarypath.scheduling.choice import is_within_cold_rate
 from rosemarypath.tokenbuckets import BudgetBuckets, RetryBuckets
 
 __all__ = ["FleetView"]
@@ -245,11 +245,13 @@
         """Record loads, granted tokens and loaded adapters from a heartbeat."""
         name = identity.partition("/")[0]
         self.budgets.record_peer(identity, state.spent, now)
-        self._remove_stale_loads(name, state.loads.keys() | state.rates.keys())
+        back_ends = state.loads.keys() | state.rates.keys() | state.awaited.keys()
+        self._remove_stale_loads(name, back_ends)
         for back_end in self._reported_back_ends[name]:
             running, tokens, adapters = state.loads.get(back_end, (0, 0, {}))
             load = running, tokens, state.rates.get(back_end, 0)
-            self._record_peer_load(name, back_end, load, adapters, now)
+            awaited = state.awaited.get(back_end, {})
+            self._record_peer_load(name, back_end, load, adapters, now, awaited)
         self._record_loaded_models(state.held, now)
 
     def record_digest(self, source, digest, now):
@@ -260,10 +262,12 @@
         """
         name = source.partition("/")[0]
         self.budgets.record_peer(source, digest.spent, now)
-        self._remove_stale_loads(name, digest.loads.keys())
-        for back_end, load in digest.loads.items():
+        self._remove_stale_loads(name, digest.loads.keys() | digest.awaited.keys())
+        for back_end in self._reported_back_ends[name]:
+            load = digest.loads.get(back_end, (0, 0, 0))
             adapters = digest.adapters.get(back_end, {}) if digest.is_full else None
-            self._record_peer_load(name, back_end, load, adapters, now)
+            awaited = digest.awaited.get(back_end, {})
+            self._record_peer_load(name, back_end, load, adapters, now, awaited)
         self._record_loaded_models(digest.held, now)
 
     def _remove_stale_loads(self, name, back_ends):
@@ -273,10 +277,10 @@
                 self.back_ends.states[back_end].remove_peer_load(name)
         self._reported_back_ends[name] = set(back_ends)
 
-    def _record_peer_load(self, name, back_end, load, adapters, now):
+    def _record_peer_load(self, name, back_end, load, adapters, now, awaited):
         known = self.back_ends.states.get(back_end)
         if known is not None:
-            known.record_peer_load(name, load, adapters, now)
+            known.record_peer_load(name, load, adapters, now, awaited)
 
     def _record_loaded_models(self, loaded_models, now):
         for back_end, models in loaded_models.items():
@@ -295,6 +299,14 @@
                 loads[name] = (own.running, own.prompt_tokens, dict(own.adapters))
         return loads
 
+    def own_awaited(self):
+        """Return counts of the requests that wait for a load, by engine and adapter."""
+        return {
+            name: dict(state.own.awaited)
+            for name, state in self.back_ends.states.items()
+            if state.own.awaited
+        }
+
     def own_rates(self, now):
         """Return the recent prompt tokens per second sent to each back end."""
         rates = {
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -7,9 +7,9 @@
 
 import asyncio
 
-from rosemarypath.choice import ChoiceFacts, Refusal, choose_back_end
 from rosemarypath.clock import now
 from rosemarypath.outcome import NotRun, Unknown
+from rosemarypath.scheduling.choice import ChoiceFacts, Refusal, choose_back_end
 from rosemarypath.sending import WITHDRAWN, Sender
 
 __all__ = ["Forwarder"]
@@ -74,6 +74,8 @@
         except asyncio.CancelledError:
             self._log_disconnect(context)
             raise
+        finally:
+            context.end_wait()
         failure = outcome.code if outcome else context.failure_code
         self._metrics.record_request(context, failure)
         if outcome is not None:
@@ -180,12 +182,14 @@
         demand = context.demand
         seconds = min(MAX_LOAD_WAIT_SECONDS, context.remaining(now()) * LOAD_WAIT_SHARE)
         started = now()
+        context.begin_wait(state)
         outcome = await self._fleet.ensure_loaded(
             state, demand.model, demand.adapter, max(MIN_LOAD_WAIT_SECONDS, seconds)
         )
         context.load_seconds += now() - started
         if not outcome.is_loaded:
             context.load_blocked.add(state.name)
+            context.end_wait()
         self._log.write(
             "load",
             "loaded" if outcome.is_loaded else "lost",
--- a/rosemarypath/groups.py
+++ b/rosemarypath/groups.py
@@ -94,6 +94,8 @@
         tokens per second.
     `adapters`
         Maps back ends to running requests by adapter.
+    `awaited`
+        Maps engines to requests that wait for a load, by adapter.
     `held`
         Maps engines to what they have loaded, as in `PeerState`.
     `revisions`
@@ -104,6 +106,7 @@
 
     loads: dict = field(default_factory=dict)
     adapters: dict = field(default_factory=dict)
+    awaited: dict = field(default_factory=dict)
     held: dict = field(default_factory=dict)
     revisions: dict = field(default_factory=dict)
     store_answer_age: float = float("inf")
@@ -112,7 +115,7 @@
         """Add the `PeerState` of one daemon, received `age` seconds ago."""
         for back_end, (running, tokens, adapters) in state.loads.items():
             self._add_load(back_end, (running, tokens, 0))
-            self._add_adapters(back_end, adapters)
+            _add_counts(self.adapters, back_end, adapters)
         for back_end, rate in state.rates.items():
             self._add_load(back_end, (0, 0, rate))
         self._add_common_fields(state, age)
@@ -122,21 +125,25 @@
         for back_end, load in digest.loads.items():
             self._add_load(back_end, load)
         for back_end, adapters in digest.adapters.items():
-            self._add_adapters(back_end, adapters)
+            _add_counts(self.adapters, back_end, adapters)
         self._add_common_fields(digest, age)
 
     def _add_load(self, back_end, load):
         known = self.loads.get(back_end, (0, 0, 0))
         self.loads[back_end] = tuple(a + b for a, b in zip(known, load))
 
-    def _add_adapters(self, back_end, adapters):
-        if adapters:
-            self.adapters.setdefault(back_end, Counter()).update(adapters)
-
     def _add_common_fields(self, source, age):
         self.store_answer_age = min(
             self.store_answer_age, source.store_answer_age + age
         )
+        for engine, awaited in source.awaited.items():
+            _add_counts(self.awaited, engine, awaited)
         self.held.update(source.held)
         for kind, revision in source.revisions.items():
             self.revisions[kind] = max(revision, self.revisions.get(kind, 0))
+
+
+def _add_counts(totals, back_end, counts):
+    """Add `counts` by adapter to those of `back_end`."""
+    if counts:
+        totals.setdefault(back_end, Counter()).update(counts)
--- a/rosemarypath/heartbeats.py
+++ b/rosemarypath/heartbeats.py
@@ -87,6 +87,7 @@
             loads=self._fleet.own_loads(),
             held=self._fleet.own_loaded_models(),
             rates=self._fleet.own_rates(now()),
+            awaited=self._fleet.own_awaited(),
             store_answer_age=round(self._store_cache.health.answer_age(now()), 3),
             reachable_seconds=round(
                 self._store_cache.availability.reachable_seconds(now()), 3
@@ -182,6 +183,7 @@
             is_full=is_full,
             spent=spent,
             loads=total.loads,
+            awaited=total.awaited,
             held={} if is_unchanged else total.held,
             is_held_unchanged=is_unchanged,
             store_answer_age=round(total.store_answer_age, 3),
--- a/rosemarypath/peermessages.py
+++ b/rosemarypath/peermessages.py
@@ -61,6 +61,8 @@
         Seconds since the store last answered the sender itself.
     `reachable_seconds`
         For how many seconds the sender knows of no outage of the store.
+    `awaited`
+        Maps engines to requests that wait until an adapter is loaded, by adapter.
     """
 
     number: int
@@ -76,6 +78,7 @@
     is_held_unchanged: bool = False
     store_answer_age: float = float("inf")
     reachable_seconds: float = 0.0
+    awaited: dict[str, dict[str, int]] = {}
 
 
 class MemberState(msgspec.Struct, frozen=True, array_like=True):
@@ -115,7 +118,7 @@
     `loads`
         Maps back ends to running requests, prompt tokens not yet processed, and prompt
         tokens per second.
-    `held`, `is_held_unchanged`, `reachable_seconds`
+    `held`, `awaited`, `is_held_unchanged`, `reachable_seconds`
         As in `PeerState`.
     `members`
         The `MemberState` of each daemon.
@@ -139,6 +142,7 @@
     adapters: dict[str, dict[str, int]] = {}
     store_answer_age: float = float("inf")
     reachable_seconds: float = 0.0
+    awaited: dict[str, dict[str, int]] = {}
 
 
 class LeasePing(Message):
--- a/rosemarypath/requestcontext.py
+++ b/rosemarypath/requestcontext.py
@@ -38,6 +38,8 @@
         The `EventSplitter` of a stream.
     `place_wait_started`
         Time since which it has waited for a place for its adapter.
+    `waiting_at`
+        State of the engine where it waits for its adapter, ``None`` if it does not.
     `stage`, `stage_at`, `stage_back_end`
         What it waits for (``place``, ``load`` or ``send``), since when, and at which
         back end.
@@ -64,6 +66,7 @@
     failure: tuple | None = None
     events: object = None
     place_wait_started: float | None = None
+    waiting_at: object = None
     stage: str = ""
     stage_at: float = 0.0
     stage_back_end: str = ""
@@ -89,6 +92,18 @@
         self.stage_back_end = name
         self.stage_at = at
 
+    def begin_wait(self, state):
+        """Count it as waiting for its adapter at the engine of `state`."""
+        self.end_wait()
+        self.waiting_at = state
+        state.begin_wait(self.demand.adapter_key)
+
+    def end_wait(self):
+        """Count it as no longer waiting: it was sent, or gave up."""
+        if self.waiting_at is not None:
+            self.waiting_at.end_wait(self.demand.adapter_key)
+            self.waiting_at = None
+
     def record_event(self, at):
         """Record that events were passed on at the time `at`."""
         if self.first_event_at is None:
--- a/rosemarypath/choice.py
+++ b/rosemarypath/scheduling/choice.py
@@ -1,6 +1,6 @@
 """
-rosemarypath.choice
-~~~~~~~~~~~~~~~~~~~
+rosemarypath.scheduling.choice
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Chooses the back end for a request, and whether to load an adapter there first.
 
--- a/rosemarypath/engineadapters.py
+++ b/rosemarypath/scheduling/engineadapters.py
@@ -1,6 +1,6 @@
 """
-rosemarypath.engineadapters
-~~~~~~~~~~~~~~~~~~~~~~~~~~~
+rosemarypath.scheduling.engineadapters
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The adapters that one engine has loaded, is loading or is unloading.
 
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -75,6 +75,7 @@
         context.sends += 1
         context.tried.append(state.name)
         state.begin_request(context.demand, send.started)
+        context.end_wait()
         try:
             return await self._exchange(send)
         finally:
--- a/standins/simulatedfleet.py
+++ b/standins/simulatedfleet.py
@@ -87,6 +87,7 @@
         self.budgets = SimpleNamespace(spent={"kiln": 0})
         self.running = 1 + number % 3
         self.held = {}
+        self.awaited = {}
         self.heard = {}
         self.heard_held = {}
 
@@ -99,6 +100,9 @@
     def own_rates(self, now):
         return {"engine": 100 * self.running}
 
+    def own_awaited(self):
+        return self.awaited
+
     def record_peer_state(self, identity, state, now):
         self.heard[identity] = (now, state)
         self.heard_held.update(state.held)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -12,8 +12,8 @@
 
 from rosemarypath.backend import ENGINE, SERVICE, BackEnd, BackEndEntry, LoadedModel
 from rosemarypath.backendstate import BackEndState
-from rosemarypath.choice import Choice, ChoiceFacts, Refusal, choose_back_end
 from rosemarypath.demand import Demand
+from rosemarypath.scheduling.choice import Choice, ChoiceFacts, Refusal, choose_back_end
 
 FACTS = ChoiceFacts(zone="z1")
 
--- a/tests/test_engineadapters.py
+++ b/tests/test_engineadapters.py
@@ -7,7 +7,7 @@
 
 from hypothesis import given, strategies as st
 
-from rosemarypath.engineadapters import EngineAdapters
+from rosemarypath.scheduling.engineadapters import EngineAdapters
 
 
 def engine_adapters(loaded, capacity=4):
--- a/tests/test_enginecontroller.py
+++ b/tests/test_enginecontroller.py
@@ -16,9 +16,11 @@
 from rosemarypath.enginecontroller import EngineController
 from rosemarypath.platform.engine import OrderResult
 from rosemarypath.routing import EnginePlan
+from rosemarypath.scheduling.reservations import Reservations
 
 PLACES = 3
 LOAD_SECONDS = 0.05
+RESERVATION_SECONDS = 0.4
 
 
 class OverfullError(Exception):
@@ -144,6 +146,7 @@
         lambda name: engine.newest.get(name.partition("/")[2], 1),
         log,
         float("-inf"),
+        Reservations(RESERVATION_SECONDS),
     )
 
 
@@ -273,3 +276,61 @@
         return await controller.ensure_loaded("m", "c", 1.5)
 
     assert run_with(engine, scenario).is_loaded
+
+
+async def load_beside_full_places(controller, is_remote):
+    """Load "c" while "a" and "b" are in use, then ask for "d"; return both outcomes."""
+    await controller.ensure_loaded("m", "a", 1.0)
+    await controller.ensure_loaded("m", "b", 1.0)
+    for name in ("m/a", "m/b"):
+        controller.state.own.adapters[name] = 1
+    if not is_remote:
+        controller.state.begin_wait("m/c")
+    loaded = await controller.ensure_loaded("m", "c", 1.0, is_remote=is_remote)
+    return loaded, await controller.ensure_loaded("m", "d", 0.2, is_remote=is_remote)
+
+
+@pytest.mark.parametrize("is_remote", [False, True])
+def test_a_loaded_adapter_is_kept_for_the_requests_that_waited_for_it(is_remote):
+    """Without other idle adapters the new one is the only candidate for eviction."""
+    engine = MemoryEngine()
+
+    async def scenario(controller):
+        loaded, other = await load_beside_full_places(controller, is_remote)
+        assert loaded.is_loaded
+        assert not other.is_loaded
+        assert engine.held.keys() == {"a", "b", "c"}
+
+    run_with(engine, scenario)
+
+
+def test_the_place_is_given_on_once_the_waiting_requests_have_gone():
+    engine = MemoryEngine()
+
+    async def scenario(controller):
+        await load_beside_full_places(controller, is_remote=True)
+        await load_beside_full_places(controller, is_remote=False)
+        controller.state.end_wait("m/c")
+        await asyncio.sleep(RESERVATION_SECONDS)
+        return await controller.ensure_loaded("m", "d", 1.0)
+
+    assert run_with(engine, scenario).is_loaded
+    assert engine.held.keys() == {"a", "b", "d"}
+
+
+def test_a_request_that_another_daemon_reports_as_waiting_keeps_its_adapter():
+    engine = MemoryEngine()
+
+    async def scenario(controller):
+        await load_beside_full_places(controller, is_remote=True)
+        await asyncio.sleep(RESERVATION_SECONDS)
+        at = asyncio.get_running_loop().time()
+        load = (0, 0, 0)
+        controller.state.record_peer_load("n", load, {}, at, {"m/c": 1})
+        kept = await controller.ensure_loaded("m", "d", 0.1)
+        controller.state.record_peer_load("n", load, {}, at, {})
+        return kept, await controller.ensure_loaded("m", "d", 1.0)
+
+    kept, given = run_with(engine, scenario)
+    assert not kept.is_loaded
+    assert given.is_loaded
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from rosemarypath.controllermanager import RELAYED_REPORT_SECONDS
 from rosemarypath.groups import GROUP_SIZE_FLOOR
 from rosemarypath.peermessages import LeasePing
 from rosemarypath.peers import PEER_TIMEOUT_SECONDS, RELAY_DELAY_SECONDS
@@ -123,6 +124,25 @@
             assert daemon.fleet.heard_held
 
 
+@pytest.mark.parametrize("total", [9, 40, 195])
+def test_a_waiting_request_is_known_to_all_while_its_adapter_is_reserved(
+    new_play, total
+):
+    play = new_play(total)
+    play.beat(3.0)
+    play.daemons[7].fleet.awaited = {"engine": {"m/a9": 1}}
+    is_grouped = play.daemons[0].peers.is_grouped
+    play.beat(RELAYED_REPORT_SECONDS if is_grouped else BEAT)
+    for daemon in play.daemons:
+        if daemon is not play.daemons[7]:
+            awaited = [s.awaited.get("engine") for s in daemon.fleet.fresh()]
+            assert {"m/a9": 1} in awaited
+    play.daemons[7].fleet.awaited = {}
+    play.beat(RELAYED_REPORT_SECONDS if is_grouped else BEAT)
+    for daemon in play.daemons:
+        assert not any(state.awaited for state in daemon.fleet.fresh())
+
+
 def test_a_machine_of_another_group_acknowledges_a_lease_ping(new_play):
     play = new_play(40)
     play.beat(3.0)
