Queue requests for adapter places at the lease holder and tell scarce places

Each request asked the holder of every engine in turn, was refused there at once and polled every 0.1 s for a second; nobody waited where a place became free. 927 loads made 750 copies of 441 adapters, as any engine with room was as good as one that had the adapter lately and reloads it from its own memory. Change: requests wait in a queue of the engine's controller (scheduling/loadqueue), in the order of the time that all requests for an adapter have waited together; a request that asks again keeps its time. Holders tell how many adapters could be loaded without waiting where that is under two. The choice counts the wait for a place, the tenth of the time that a recent adapter takes, and a load that another request already awaits. A request waits for half of its time, at most 3 s (scheduling/patience), and is refused at once, with a spread Retry-After, if even the best engine is not expected to have a place by then. Polling is left for engines without a usable lease holder. Ruled out: PLACE_SECONDS of 0.4 refused one of six requests that four places can serve in time (test_a_request_waits_for_a_place_that_ending_streams_free); 0.25 serves all.

--- a/rosemarypath/backendstate.py
+++ b/rosemarypath/backendstate.py
@@ -16,6 +16,8 @@
 COLD_WINDOW_SECONDS = 1.0  # over which sends to a cold back end are limited
 CONTROLLER_REPORT_SECONDS = 2.0  # for which a report outranks the platform's list
 LATENCY_WEIGHT = 0.1  # of a new latency in the moving average
+OPEN_PLACES_SECONDS = 1.0  # for which a report of scarce places counts
+MAX_RECENT_ADAPTERS = 24  # per engine, which reloads them from its own memory
 RATE_SECONDS = 1.0  # for which prompts count; reports of peers are half as old
 
 
@@ -61,6 +63,9 @@
         self.last_used = {}
         self.latency = 0.0
         self.controller_reported_at = float("-inf")
+        self.recent_adapters = {}
+        self._open_places = 0
+        self._open_places_at = float("-inf")
 
     @property
     def back_end(self):
@@ -93,6 +98,21 @@
                 rate += load.prompt_rate
         return running, tokens, rate
 
+    def open_places(self, now):
+        """
+        Return how many adapters could be loaded without waiting for a place.
+
+        It is infinite unless the lease holder has lately reported that they are scarce.
+        """
+        if now - self._open_places_at < OPEN_PLACES_SECONDS:
+            return self._open_places
+        return float("inf")
+
+    def record_open_places(self, count, now):
+        """Record the open places that the lease holder reported."""
+        self._open_places = count
+        self._open_places_at = now
+
     def own_prompt_rate(self, now):
         """Return the recent prompt tokens per second that this daemon sent here."""
         age = max(0.0, now - self._prompt_at)
@@ -216,6 +236,7 @@
         if entry.started_at_ms != self.entry.started_at_ms:
             self.adapters = {}
             self.model_versions = {}
+            self.recent_adapters = {}
         self.entry = entry
         self.seen_at = now
         self.is_missing = False
@@ -236,6 +257,15 @@
             for model in models
             for adapter, version in model.adapters.items()
         }
+        self._record_recent_adapters()
+
+    def _record_recent_adapters(self):
+        """Remember the loaded adapters, the latest last."""
+        for name, version in self.adapters.items():
+            self.recent_adapters.pop(name, None)
+            self.recent_adapters[name] = version
+        while len(self.recent_adapters) > MAX_RECENT_ADAPTERS + len(self.adapters):
+            del self.recent_adapters[next(iter(self.recent_adapters))]
 
 
 class BackEnds:
--- a/rosemarypath/controllermanager.py
+++ b/rosemarypath/controllermanager.py
@@ -125,6 +125,6 @@
         if controller is None:
             return LoadReply(False, "not_holder")
         outcome = await controller.ensure_loaded(
-            ask.model, ask.adapter, ask.seconds, is_remote=True
+            ask.model, ask.adapter, ask.seconds, ask.waited, is_remote=True
         )
         return LoadReply(outcome.is_loaded, outcome.reason)
--- a/rosemarypath/enginecontroller.py
+++ b/rosemarypath/enginecontroller.py
@@ -16,6 +16,7 @@
 from rosemarypath.backend import LoadedModel
 from rosemarypath.clock import lease_now, now
 from rosemarypath.scheduling.engineadapters import EngineAdapters, PendingLoad
+from rosemarypath.scheduling.loadqueue import LoadQueue, Waiter
 
 __all__ = ["EngineController", "LoadOutcome"]
 
@@ -24,6 +25,7 @@
 FIRST_CHECK_SECONDS = 0.04  # a recently loaded adapter takes a tenth of a full load
 LATE_CHECK_SECONDS = 0.24  # a load from the weight store takes as long
 LOAD_TIMEOUT_SECONDS = 3.0  # a load that takes longer is looked up in a report
+PLACE_CHECK_SECONDS = 0.03  # between two checks for a free place while requests wait
 HOUSEKEEPING_SECONDS = 0.5  # between two checks of versions and missing models
 REPORT_DELAY_SECONDS = 0.4  # after an order; reports lag by half as much
 MAX_UNANSWERED_ORDERS = 2  # in a row, until the engine counts as unresponsive
@@ -41,25 +43,6 @@
     reason: str = ""
 
 
-@dataclass
-class _WantedAdapter:
-    """
-    An adapter that requests wait for.
-
-    `waiters` are their futures; `has_remote` tells whether one is of another daemon.
-    """
-
-    model: str
-    adapter: str
-    since: float
-    waiters: list
-    has_remote: bool = False
-
-    @property
-    def name(self):
-        return f"{self.model}/{self.adapter}"
-
-
 class EngineController:
     """
     Control loop that loads the adapters which requests ask one engine for.
@@ -101,7 +84,8 @@
         self._version_of = version_of
         self._log = log
         self._reservations = reservations
-        self._wanted = {}
+        self._queue = LoadQueue()
+        self._is_blocked = False
         self._wake_up = asyncio.Event()
         self._order_count = None
         self._expected = None
@@ -134,12 +118,29 @@
         is_recent = now - self._unanswered_at < UNRESPONSIVE_SECONDS
         return self._unanswered >= MAX_UNANSWERED_ORDERS and is_recent
 
-    async def ensure_loaded(self, model, adapter, seconds, is_remote=False):
+    def open_places(self, now):
+        """
+        Return how many further adapters could be loaded without waiting for a place.
+
+        It is zero or negative if as many or more adapters are waited for as places are
+        free, or used by adapters that no request needs.
+        """
+        idle = sum(
+            not self._is_needed(name, now)
+            for name in self._adapters.loaded
+            if name not in self._adapters.unloading
+        )
+        free = self._adapters.capacity - self._adapters.used_places
+        waiting = sum(name not in self._adapters.loading for name in self._queue.names)
+        return free + idle - waiting
+
+    async def ensure_loaded(self, model, adapter, seconds, waited=0.0, is_remote=False):
         """
         Wait up to `seconds` until the adapter is loaded; return a `LoadOutcome`.
 
-        `is_remote` tells that the request waits at another daemon, whose heartbeats
-        report later that it uses the adapter.
+        `waited` are the seconds that the request has already waited in this queue.
+        `is_remote` tells that it waits at another daemon, whose heartbeats report later
+        that it uses the adapter.
         """
         name = f"{model}/{adapter}"
         if self._is_current(name):
@@ -149,22 +150,17 @@
         if self.is_unresponsive(now()):
             return LoadOutcome(False, "engine_silent")
         future = asyncio.get_running_loop().create_future()
-        wanted = self._wanted.get(name)
-        if wanted is None:
-            wanted = self._wanted[name] = _WantedAdapter(model, adapter, now(), [])
-        wanted.waiters.append(future)
-        wanted.has_remote = wanted.has_remote or is_remote
+        waiter = Waiter(now() - waited, is_remote, future)
+        group = self._queue.add(model, adapter, waiter)
         self._wake_up.set()
         try:
             async with asyncio.timeout(seconds):
                 return await future
         except TimeoutError:
-            return LoadOutcome(False, "load_timeout")
+            reason = "awaiting_place" if group.is_blocked else "load_timeout"
+            return LoadOutcome(False, reason)
         finally:
-            if future in wanted.waiters:
-                wanted.waiters.remove(future)
-            if not wanted.waiters and name not in self._adapters.loading:
-                self._wanted.pop(name, None)
+            self._queue.discard(group, waiter)
 
     async def run(self):
         """Run the control loop until cancelled."""
@@ -190,10 +186,12 @@
             self._publish_state()
 
     def _pause_seconds(self):
+        pause = PLACE_CHECK_SECONDS if self._is_blocked else HOUSEKEEPING_SECONDS
         pending = self._adapters.loading.values()
         if pending:
-            return max(MIN_PAUSE_SECONDS, min(one.check_at for one in pending) - now())
-        return HOUSEKEEPING_SECONDS
+            next_check = min(one.check_at for one in pending) - now()
+            return max(MIN_PAUSE_SECONDS, min(pause, next_check))
+        return pause
 
     def _is_current(self, name):
         version = self._adapters.loaded.get(name)
@@ -324,23 +322,26 @@
         self._resolve(name, LoadOutcome(True))
 
     async def _load_wanted(self, fence):
-        order = sorted(self._wanted.values(), key=lambda w: -len(w.waiters))
-        for wanted in order:
-            name = wanted.name
+        self._is_blocked = False
+        for group in self._queue.ordered(now()):
+            name = group.name
             if self._order_count is None:
                 return
             if self._is_current(name):
                 self._resolve(name, LoadOutcome(True))
                 continue
-            if name in self._adapters.loading:
+            if name in self._adapters.loading or name not in self._queue:
                 continue
             if not self._adapters.can_start_load:
                 return
-            if not self._adapters.has_free_place:
-                if not await self._evict(fence):
-                    self._resolve(name, LoadOutcome(False, "no_place"))
-                    continue
-            await self._load(name, fence)
+            has_place = self._adapters.has_free_place
+            if not has_place and not self._is_blocked:
+                has_place = await self._evict(fence)
+            group.is_blocked = not has_place
+            # A place is kept for the first group; later ones may be loaded already.
+            self._is_blocked = self._is_blocked or not has_place
+            if has_place:
+                await self._load(name, fence)
 
     async def _load(self, name, fence):
         version = max(FIRST_VERSION, self._version_of(name))
@@ -440,17 +441,17 @@
         )
 
     def _resolve(self, name, outcome):
-        wanted = self._wanted.pop(name, None)
-        if wanted is None:
+        group = self._queue.pop(name)
+        if group is None:
             return
-        if outcome.is_loaded and wanted.has_remote:
+        if outcome.is_loaded and group.has_remote:
             self._reservations.reserve(name, now())
-        for waiter in wanted.waiters:
-            if not waiter.done():
-                waiter.set_result(outcome)
+        for waiter in group.waiters:
+            if not waiter.ticket.done():
+                waiter.ticket.set_result(outcome)
 
     def _fail_all(self, reason):
-        for name in list(self._wanted):
+        for name in self._queue.names:
             self._resolve(name, LoadOutcome(False, reason))
 
     def _publish_state(self):
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -17,10 +17,12 @@
 
 ASK_TIMEOUT_SECONDS = 0.5  # twice a load; a holder silent for longer is not asked again
 ASK_MARGIN_SECONDS = 0.05  # for the answer of another daemon on top
+SCARCE_PLACES = 2  # fewer open places are told to the other daemons
 START_SECONDS = 2.0  # after its start a daemon may not know all other daemons yet
 MIN_PROMPT_RATE = 50  # tokens per second; a prompt of 500 tokens decays to it in 2 s
 FAILURE_MEMORY_SECONDS = 1.0  # for which a failed load makes an engine less eligible
 FAILURE_REASONS = frozenset({"load_timeout", "engine_silent", "holder_silent"})
+WAITING_REASONS = frozenset({"load_timeout", "awaiting_place"})  # asked again
 VERSION_MARGIN_SECONDS = 2.0  # for the announcement, a connection and a free place
 UNKNOWN_VERSION = (0, float("-inf"))
 
@@ -187,13 +189,15 @@
 
     async def _ask_holder(self, peer, engine, model, adapter, seconds):
         """Ask the lease holder until it answers or falls silent."""
-        until = clock.now() + seconds
+        started = clock.now()
+        until = started + seconds
         while True:
             left = min(ASK_TIMEOUT_SECONDS, until - clock.now())
-            ask = LoadAsk(engine, model, adapter, left)
+            waited = round(clock.now() - started, 3)
+            ask = LoadAsk(engine, model, adapter, left, waited)
             identity = peer.machine.identity
             reply = await self._mesh.ask(identity, ask, left + ASK_MARGIN_SECONDS)
-            is_final = reply is not None and reply.reason != "load_timeout"
+            is_final = reply is not None and reply.reason not in WAITING_REASONS
             if is_final or clock.now() >= until:
                 return reply
             if clock.now() - peer.heard_at > ASK_TIMEOUT_SECONDS:
@@ -253,6 +257,7 @@
             awaited = state.awaited.get(back_end, {})
             self._record_peer_load(name, back_end, load, adapters, now, awaited)
         self._record_loaded_models(state.held, now)
+        self._record_open_places(state.open_places, now)
 
     def record_digest(self, source, digest, now):
         """
@@ -269,6 +274,7 @@
             awaited = digest.awaited.get(back_end, {})
             self._record_peer_load(name, back_end, load, adapters, now, awaited)
         self._record_loaded_models(digest.held, now)
+        self._record_open_places(digest.open_places, now)
 
     def _remove_stale_loads(self, name, back_ends):
         """Drop the loads of `name` at all but the given back ends."""
@@ -282,6 +288,12 @@
         if known is not None:
             known.record_peer_load(name, load, adapters, now, awaited)
 
+    def _record_open_places(self, open_places, now):
+        for back_end, count in open_places.items():
+            known = self.back_ends.states.get(back_end)
+            if known is not None and back_end not in self.controllers:
+                known.record_open_places(count, now)
+
     def _record_loaded_models(self, loaded_models, now):
         for back_end, models in loaded_models.items():
             known = self.back_ends.states.get(back_end)
@@ -307,6 +319,18 @@
             if state.own.awaited
         }
 
+    def own_scarce_places(self, now):
+        """Return the open places of leased engines that have few of them."""
+        scarce = {}
+        for name, controller in self.controllers.items():
+            if not controller.has_report:
+                continue
+            count = controller.open_places(now)
+            controller.state.record_open_places(count, now)
+            if count < SCARCE_PLACES:
+                scarce[name] = count
+        return scarce
+
     def own_rates(self, now):
         """Return the recent prompt tokens per second sent to each back end."""
         rates = {
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -17,11 +17,9 @@
 NOT_SENT = frozenset({"unreachable", WITHDRAWN})  # no back end got the request
 MAX_SENDS = 6  # per request, including those that a back end rejected
 RESEND_PAUSE_SECONDS = 0.02  # before another send, after a rejected one
-LOAD_WAIT_SHARE = 0.6  # of the time until the deadline, for one adapter load
 MAX_LOAD_WAIT_SECONDS = 1.5  # several loads from a busy store; then another engine
 MIN_LOAD_WAIT_SECONDS = 0.05  # as long as a load from the engine's own memory takes
-PLACE_WAIT_SECONDS = 1.0  # until then some streams have ended and freed a place
-PLACE_POLL_SECONDS = 0.1  # between two checks for a free place
+HOLDER_POLL_SECONDS = 0.1  # between two checks whether an engine can load again
 
 
 class Forwarder:
@@ -103,9 +101,7 @@
             choice = self._choose_back_end(context, at)
             if isinstance(choice, Refusal):
                 if self._should_wait_for_load(context, choice, at):
-                    context.load_blocked.clear()
-                    context.enter_stage("place", "", at)
-                    await asyncio.sleep(PLACE_POLL_SECONDS)
+                    await self._wait_for_holder(context, at)
                     continue
                 outcome = self._no_back_end_outcome(context, choice)
                 return self._final_outcome(context, outcome, connection)
@@ -125,17 +121,18 @@
                 await asyncio.sleep(RESEND_PAUSE_SECONDS)
 
     def _should_wait_for_load(self, context, refusal, at):
-        """Return whether a place or a lease holder may become available in time."""
-        if (
-            refusal.reason != "cannot_load"
-            or context.remaining(at) < PLACE_WAIT_SECONDS
-        ):
+        """Return whether an engine may be able to load again in time."""
+        if refusal.reason != "cannot_load" or context.load_patience <= 0.0:
             return False
-        if not context.load_blocked and not self._fleet.is_starting(at):
-            return False
-        if context.place_wait_started is None:
-            context.place_wait_started = at
-        return at - context.place_wait_started < PLACE_WAIT_SECONDS
+        return bool(context.load_blocked) or self._fleet.is_starting(at)
+
+    @staticmethod
+    async def _wait_for_holder(context, at):
+        """Wait until engines that could not load are tried again."""
+        context.load_blocked.clear()
+        context.enter_stage("holder", "", at)
+        await asyncio.sleep(HOLDER_POLL_SECONDS)
+        context.load_seconds += HOLDER_POLL_SECONDS
 
     def _final_outcome(self, context, outcome, connection):
         """
@@ -166,6 +163,7 @@
             | context.load_blocked,
             load_failures=self._fleet.recent_load_failures(at),
             cold_rate_limit=self._fleet.cold_rate_limit(context.service, at),
+            load_patience=context.load_patience,
         )
         return choose_back_end(states, demand, facts, at)
 
@@ -180,7 +178,7 @@
 
     async def _load_adapter(self, context, state):
         demand = context.demand
-        seconds = min(MAX_LOAD_WAIT_SECONDS, context.remaining(now()) * LOAD_WAIT_SHARE)
+        seconds = min(MAX_LOAD_WAIT_SECONDS, context.load_patience)
         started = now()
         context.begin_wait(state)
         outcome = await self._fleet.ensure_loaded(
--- a/rosemarypath/groups.py
+++ b/rosemarypath/groups.py
@@ -96,6 +96,8 @@
         Maps back ends to running requests by adapter.
     `awaited`
         Maps engines to requests that wait for a load, by adapter.
+    `open_places`
+        Maps engines where places are scarce to the loads that could begin there.
     `held`
         Maps engines to what they have loaded, as in `PeerState`.
     `revisions`
@@ -107,6 +109,7 @@
     loads: dict = field(default_factory=dict)
     adapters: dict = field(default_factory=dict)
     awaited: dict = field(default_factory=dict)
+    open_places: dict = field(default_factory=dict)
     held: dict = field(default_factory=dict)
     revisions: dict = field(default_factory=dict)
     store_answer_age: float = float("inf")
@@ -139,6 +142,7 @@
         for engine, awaited in source.awaited.items():
             _add_counts(self.awaited, engine, awaited)
         self.held.update(source.held)
+        self.open_places.update(source.open_places)
         for kind, revision in source.revisions.items():
             self.revisions[kind] = max(revision, self.revisions.get(kind, 0))
 
--- a/rosemarypath/heartbeats.py
+++ b/rosemarypath/heartbeats.py
@@ -88,6 +88,7 @@
             held=self._fleet.own_loaded_models(),
             rates=self._fleet.own_rates(now()),
             awaited=self._fleet.own_awaited(),
+            open_places=self._fleet.own_scarce_places(now()),
             store_answer_age=round(self._store_cache.health.answer_age(now()), 3),
             reachable_seconds=round(
                 self._store_cache.availability.reachable_seconds(now()), 3
@@ -184,6 +185,7 @@
             spent=spent,
             loads=total.loads,
             awaited=total.awaited,
+            open_places=total.open_places,
             held={} if is_unchanged else total.held,
             is_held_unchanged=is_unchanged,
             store_answer_age=round(total.store_answer_age, 3),
--- a/rosemarypath/peermessages.py
+++ b/rosemarypath/peermessages.py
@@ -63,6 +63,9 @@
         For how many seconds the sender knows of no outage of the store.
     `awaited`
         Maps engines to requests that wait until an adapter is loaded, by adapter.
+    `open_places`
+        Maps the engines that the sender commands, if places are scarce there, to the
+        number of adapters that could be loaded without waiting for a place.
     """
 
     number: int
@@ -79,6 +82,7 @@
     store_answer_age: float = float("inf")
     reachable_seconds: float = 0.0
     awaited: dict[str, dict[str, int]] = {}
+    open_places: dict[str, int] = {}
 
 
 class MemberState(msgspec.Struct, frozen=True, array_like=True):
@@ -118,7 +122,7 @@
     `loads`
         Maps back ends to running requests, prompt tokens not yet processed, and prompt
         tokens per second.
-    `held`, `awaited`, `is_held_unchanged`, `reachable_seconds`
+    `held`, `awaited`, `open_places`, `is_held_unchanged`, `reachable_seconds`
         As in `PeerState`.
     `members`
         The `MemberState` of each daemon.
@@ -143,6 +147,7 @@
     store_answer_age: float = float("inf")
     reachable_seconds: float = 0.0
     awaited: dict[str, dict[str, int]] = {}
+    open_places: dict[str, int] = {}
 
 
 class LeasePing(Message):
@@ -211,12 +216,17 @@
 
 
 class LoadAsk(Message):
-    """Asks the lease holder of a back end to load an adapter within `seconds`."""
+    """
+    Asks the lease holder of a back end to load an adapter within `seconds`.
+
+    The request has waited for `waited` seconds since it first asked for this load.
+    """
 
     back_end: str
     model: str
     adapter: str
     seconds: float
+    waited: float = 0.0
 
 
 class LoadReply(Message):
--- a/rosemarypath/requestcontext.py
+++ b/rosemarypath/requestcontext.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass, field
 
+from rosemarypath.scheduling.patience import load_patience
+
 __all__ = ["RequestContext", "Send"]
 
 
@@ -36,12 +38,10 @@
         on if no retry succeeds.
     `events`
         The `EventSplitter` of a stream.
-    `place_wait_started`
-        Time since which it has waited for a place for its adapter.
     `waiting_at`
         State of the engine where it waits for its adapter, ``None`` if it does not.
     `stage`, `stage_at`, `stage_back_end`
-        What it waits for (``place``, ``load`` or ``send``), since when, and at which
+        What it waits for (``holder``, ``load`` or ``send``), since when, and at which
         back end.
     `load_seconds`
         Seconds that it waited for loads of its adapter.
@@ -65,7 +65,6 @@
     head: object = None
     failure: tuple | None = None
     events: object = None
-    place_wait_started: float | None = None
     waiting_at: object = None
     stage: str = ""
     stage_at: float = 0.0
@@ -112,6 +111,12 @@
             self.longest_gap = max(self.longest_gap, at - self.last_event_at)
         self.last_event_at = at
 
+    @property
+    def load_patience(self):
+        """Return the seconds for which it may still wait for loads of its adapter."""
+        available = self.remaining(self.request.arrived)
+        return load_patience(available) - self.load_seconds
+
     def remaining(self, at):
         """Return the seconds from `at` to the deadline."""
         return self.deadline - at
--- a/rosemarypath/scheduling/choice.py
+++ b/rosemarypath/scheduling/choice.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass
 
 from rosemarypath.hashing import rendezvous_score
+from rosemarypath.scheduling.patience import spread_retry
 
 __all__ = ["Choice", "Refusal", "choose_back_end", "is_within_cold_rate"]
 
@@ -26,6 +27,10 @@
     1.2  # for reading all the time beyond that share, which delays a stream
 )
 LOAD_SECONDS = 0.3  # an order to load an adapter, and the load
+RELOAD_SECONDS = 0.05  # the same for an adapter that the engine had lately
+JOIN_SECONDS = 0.15  # what is left, on average, of a load that another request awaits
+CANNOT_LOAD_RETRY_SECONDS = 0.3  # until a lease has a holder, or an engine answers
+PLACE_SECONDS = 0.25  # until a place becomes free, per adapter that waits for one
 LOAD_FAILURE_SECONDS = 1.0  # waiting for an engine that just failed to load
 RANK_SECONDS = 0.02  # per rank, so that an adapter stays at its preferred engine
 RUNNING_SECONDS = 0.002  # per running request
@@ -74,12 +79,22 @@
             others, lambda s: _cost_with_load(s, ranks[s.name], demand, facts, now)
         )
         if other_cost < cost:
-            return Choice(other, needs_load=True)
+            return _choose_load(other, best, demand, facts, now)
     if best is None:
-        return Refusal("cannot_load", 0.3)
+        return Refusal("cannot_load", spread_retry(CANNOT_LOAD_RETRY_SECONDS))
     return Choice(best)
 
 
+def _choose_load(state, best, demand, facts, now):
+    """Return the choice of a load at `state`, unless no place is expected in time."""
+    seconds = _load_seconds(state, demand.adapter_key, facts, now)
+    if seconds <= facts.load_patience:
+        return Choice(state, needs_load=True)
+    if best is not None:
+        return Choice(best)
+    return Refusal("no_place_in_time", spread_retry(seconds - facts.load_patience))
+
+
 def is_within_cold_rate(state, cold_rate_limit, now):
     """Return whether the back end may get one more request if it is cold."""
     return not state.is_cold(now) or state.recent_sends(now) < cold_rate_limit
@@ -134,6 +149,8 @@
         Names of engines where no adapter can be loaded now.
     `load_failures`
         Names of engines where a load failed recently.
+    `load_patience`
+        Seconds for which the request may still wait for its adapter.
     `cold_rate_limit`
         Requests per second that this daemon may send to a cold back end.
     """
@@ -146,6 +163,7 @@
     load_blocked: frozenset = frozenset()
     load_failures: frozenset = frozenset()
     cold_rate_limit: float = 1.0
+    load_patience: float = float("inf")
 
 
 def _has_loaded(state, demand, facts, now):
@@ -179,10 +197,21 @@
 
 def _cost_with_load(state, rank, demand, facts, now):
     """Return the estimated seconds until the first byte, with a load before it."""
-    cost = _cost(state, demand, facts, now) + LOAD_SECONDS + RANK_SECONDS * rank
+    cost = _cost(state, demand, facts, now) + RANK_SECONDS * rank
+    cost += _load_seconds(state, demand.adapter_key, facts, now)
     return cost + LOAD_FAILURE_SECONDS * (state.name in facts.load_failures)
 
 
+def _load_seconds(state, adapter, facts, now):
+    """Return the estimated seconds until the adapter is loaded."""
+    if state.is_adapter_awaited(adapter, now):
+        return JOIN_SECONDS
+    missing = max(0.0, 1.0 - state.open_places(now))
+    is_recent = state.recent_adapters.get(adapter, 0) >= max(1, facts.version)
+    load = RELOAD_SECONDS if is_recent else LOAD_SECONDS
+    return load + missing * PLACE_SECONDS
+
+
 def _cost_if_loaded(state, demand, facts, now):
     """Return the estimated seconds until the first byte, without a load."""
     cost = _cost(state, demand, facts, now)
--- a/standins/simulatedfleet.py
+++ b/standins/simulatedfleet.py
@@ -103,6 +103,9 @@
     def own_awaited(self):
         return self.awaited
 
+    def own_scarce_places(self, now):
+        return {}
+
     def record_peer_state(self, identity, state, now):
         self.heard[identity] = (now, state)
         self.heard_held.update(state.held)
