Repeat an unanswered order at once, and check the lease before each order

Change: an order without an answer is sent again after 0.3 s with the same count of accepted orders, so that the engine carries out at most one copy; after four in a row (1.2 s, as before) the engine is unresponsive. The fencing token was checked once a pass, which can last for seconds of orders; it is checked before each order now, so that a daemon that was paused in between sends none under a lease that has lapsed. Tests: loads go on while 30 % of the orders get no answer; no order follows a lapse of the lease during another order.

--- a/rosemarypath/enginecontroller.py
+++ b/rosemarypath/enginecontroller.py
@@ -15,6 +15,7 @@
 
 from rosemarypath.backend import LoadedModel
 from rosemarypath.clock import lease_now, now
+from rosemarypath.errors import RosemarypathError
 from rosemarypath.scheduling.engineadapters import EngineAdapters, PendingLoad
 from rosemarypath.scheduling.loadqueue import LoadQueue, Waiter
 
@@ -28,13 +29,17 @@
 PLACE_CHECK_SECONDS = 0.03  # between two checks for a free place while requests wait
 HOUSEKEEPING_SECONDS = 0.5  # between two checks of versions and missing models
 REPORT_DELAY_SECONDS = 0.4  # after an order; reports lag by half as much
-MAX_UNANSWERED_ORDERS = 2  # in a row, until the engine counts as unresponsive
+MAX_UNANSWERED_ORDERS = 4  # in a row, until the engine counts as unresponsive
 UNRESPONSIVE_SECONDS = 1.0  # since the last of them; an answered check ends it sooner
 NEWEST = 0  # asks for the newest version of a model
 FIRST_VERSION = 1  # of an adapter for which no version was announced
 RECENT_USE_SECONDS = 8.0  # an adapter used since then is updated to its newest version
 
 
+class LeaseLapsedError(RosemarypathError):
+    """The lease of an engine no longer allows orders from this daemon."""
+
+
 @dataclass(frozen=True)
 class LoadOutcome:
     """Whether an adapter is loaded now; `reason` is the code of why it is not."""
@@ -214,6 +219,14 @@
         if self._order_count is None and not await self._read_report():
             self._fail_all("no_report")
             return
+        try:
+            await self._run_steps(plan, fence)
+        except LeaseLapsedError:
+            self._log.write("orders", "lapsed", engine=self.state.name)
+            self._fail_all("not_confirmed")
+
+    async def _run_steps(self, plan, fence):
+        """Send the orders of one pass; raises `LeaseLapsedError`."""
         if not await self._ensure_model(plan, fence):
             return
         for step in (
@@ -277,10 +290,13 @@
             return False
         self._model_ordered_at = now()
         model = next(iter(plan.models))
-        result = await self._client.load(
-            self.state.back_end, model, "", NEWEST, fence, self._order_count
+        back_end = self.state.back_end
+        await self._send_until_answered(
+            "load_model",
+            model,
+            fence,
+            lambda count: self._client.load(back_end, model, "", NEWEST, fence, count),
         )
-        self._record_order("load_model", model, result)
         await self._read_report()
         return bool(self._models)
 
@@ -289,11 +305,34 @@
         # The order names the version: otherwise it would start another load once a
         # newer version is announced, for which a full engine has no place.
         model, _, adapter = name.partition("/")
-        result = await self._client.load(
-            self.state.back_end, model, adapter, version, fence, self._order_count
+        back_end = self.state.back_end
+        return await self._send_until_answered(
+            verb,
+            name,
+            fence,
+            lambda count: self._client.load(
+                back_end, model, adapter, version, fence, count
+            ),
         )
-        self._record_order(verb, name, result)
-        return result
+
+    async def _send_until_answered(self, verb, name, fence, send):
+        """
+        Send an order again while it gets no answer; return the last `OrderResult`.
+
+        All copies carry the same count of accepted orders, so that the engine carries
+        out at most one of them, however late; a conflict shows that it did. Raises
+        `LeaseLapsedError` once the lease no longer allows the order.
+        """
+        while True:
+            # Earlier orders, or a pause of the process, may have outlasted the lease.
+            if self._leases.fencing_token(self.state.name, lease_now()) != fence:
+                raise LeaseLapsedError(
+                    f"the lease of {self.state.name} lapsed", "confirm it again"
+                )
+            result = await send(self._order_count)
+            self._record_order(verb, name, result)
+            if result.is_answered or self.is_unresponsive(now()):
+                return result
 
     async def _check_pending_loads(self, fence):
         """Repeat the orders of pending loads to learn which are complete."""
@@ -383,10 +422,13 @@
         model, _, adapter = name.partition("/")
         self._adapters.unloading.add(name)
         self._publish_state()
-        result = await self._client.unload(
-            self.state.back_end, model, adapter, fence, self._order_count
+        back_end = self.state.back_end
+        result = await self._send_until_answered(
+            "unload",
+            name,
+            fence,
+            lambda count: self._client.unload(back_end, model, adapter, fence, count),
         )
-        self._record_order("unload", name, result)
         if result.is_already_done:
             self._adapters.unloading.discard(name)
             self._adapters.loaded.pop(name, None)
--- a/rosemarypath/platform/engine.py
+++ b/rosemarypath/platform/engine.py
@@ -17,7 +17,7 @@
 
 ORDER_PATH = b"/api/order"
 REPORT_PATH = b"/api/report"
-ORDER_TIMEOUT_SECONDS = 0.6  # an engine answers an order within a few ms
+ORDER_TIMEOUT_SECONDS = 0.3  # an engine answers an order within a few ms
 REPORT_TIMEOUT_SECONDS = 0.6
 MAX_REPORT_BYTES = 1024 * 1024  # several times the largest report of an engine
 ACCEPTED = 202
--- a/tests/test_enginecontroller.py
+++ b/tests/test_enginecontroller.py
@@ -122,16 +122,19 @@
 
 
 class AlwaysLeased:
-    """Stands in for the `EngineLeases` of the only daemon."""
+    """Stands in for the `EngineLeases` of the only daemon, until the lease lapses."""
+
+    def __init__(self):
+        self.has_lapsed = False
 
     async def confirm(self, lease_now):
-        return True
+        return not self.has_lapsed
 
     def fencing_token(self, engine, lease_now):
-        return 7
+        return 0 if self.has_lapsed else 7
 
 
-def controller_of(engine):
+def controller_of(engine, leases):
     back_end = BackEnd(
         name="e", address="h:1", zone="z", kind=ENGINE, serves="s", capacity=8
     )
@@ -141,7 +144,7 @@
     return EngineController(
         state,
         engine,
-        AlwaysLeased(),
+        leases,
         lambda: plan,
         lambda name: engine.newest.get(name.partition("/")[2], 1),
         log,
@@ -150,11 +153,11 @@
     )
 
 
-def run_with(engine, scenario):
+def run_with(engine, scenario, leases=None):
     """Run ``scenario(controller)`` beside the controller's task."""
 
     async def run():
-        controller = controller_of(engine)
+        controller = controller_of(engine, leases or AlwaysLeased())
         task = asyncio.create_task(controller.run())
         try:
             return await scenario(controller)
@@ -334,3 +337,47 @@
     kept, given = run_with(engine, scenario)
     assert not kept.is_loaded
     assert given.is_loaded
+
+
+def test_loads_go_on_while_a_third_of_the_orders_gets_no_answer():
+    """Workers leave orders unanswered and carry them out late."""
+    engine = MemoryEngine()
+    engine.held = {"a": 1}
+
+    async def scenario(controller):
+        await controller.ensure_loaded("m", "a", 1.0)
+        engine.lose(0.3)
+        loaded = 0
+        for number in range(12):
+            adapter = f"b{number}"
+            outcome = await controller.ensure_loaded("m", adapter, 1.5)
+            loaded += outcome.is_loaded
+        return loaded
+
+    assert run_with(engine, scenario) >= 9
+
+
+def test_no_order_is_sent_after_the_lease_lapsed_during_another_order():
+    """The daemon is paused, or the engine slow, for longer than the lease lasts."""
+    engine = MemoryEngine()
+    engine.held = {"a": 1, "b": 1, "c": 1}
+    leases = AlwaysLeased()
+
+    class SlowToUnload:
+        """Passes orders on; the lease lapses while an unload is carried out."""
+
+        load, report = engine.load, engine.report
+
+        async def unload(self, *order):
+            result = await engine.unload(*order)
+            leases.has_lapsed = True
+            return result
+
+    async def scenario(controller):
+        controller._client = SlowToUnload()
+        return await controller.ensure_loaded("m", "d", 0.5)
+
+    outcome = run_with(engine, scenario, leases)
+    assert outcome.reason == "not_confirmed"
+    assert engine.orders == 1
+    assert not engine.coming
