Count a fetch from the weight store and the wait for a place in the choice

Change: the choice counts 0.4 s for each place that must become free (0.25 before) and 0.15 s for a load that the engine cannot make from its own memory; a request is refused at once only if it would not get a place in time at 0.1 s each, the least that was seen. The rank of an engine for an adapter counts 0.03 s (0.02).

--- a/rosemarypath/scheduling/choice.py
+++ b/rosemarypath/scheduling/choice.py
@@ -20,6 +20,7 @@
 
 __all__ = ["Choice", "Refusal", "choose_back_end", "is_within_cold_rate"]
 
+MIN_PLACE_SECONDS = 0.1  # at best, until one of several places becomes free
 # Costs are in seconds until the first byte.
 PREFILL_TOKENS_PER_SECOND = 25_000.0  # prompt tokens that one engine reads
 PREFILL_SHARE_LIMIT = 0.25  # of the time; more reading makes long pauses in streams
@@ -30,9 +31,10 @@
 RELOAD_SECONDS = 0.05  # the same for an adapter that the engine had lately
 JOIN_SECONDS = 0.15  # what is left, on average, of a load that another request awaits
 CANNOT_LOAD_RETRY_SECONDS = 0.3  # until a lease has a holder, or an engine answers
-PLACE_SECONDS = 0.25  # until a place becomes free, per adapter that waits for one
+FETCH_SECONDS = 0.15  # weight of a load from the weight store, which all engines share
+PLACE_SECONDS = 0.4  # until a place becomes free, per adapter that waits for one
 LOAD_FAILURE_SECONDS = 1.0  # waiting for an engine that just failed to load
-RANK_SECONDS = 0.02  # per rank, so that an adapter stays at its preferred engine
+RANK_SECONDS = 0.03  # per rank, so that an adapter stays at its preferred engine
 RUNNING_SECONDS = 0.002  # per running request
 QUEUE_SECONDS = 0.05  # per request beyond the back end's capacity
 FAILURE_SECONDS = 0.4  # per recent failure
@@ -87,12 +89,12 @@
 
 def _choose_load(state, best, demand, facts, now):
     """Return the choice of a load at `state`, unless no place is expected in time."""
-    seconds = _load_seconds(state, demand.adapter_key, facts, now)
-    if seconds <= facts.load_patience:
+    soonest = RELOAD_SECONDS + MIN_PLACE_SECONDS * _missing_places(state, demand, now)
+    if soonest <= facts.load_patience:
         return Choice(state, needs_load=True)
     if best is not None:
         return Choice(best)
-    return Refusal("no_place_in_time", spread_retry(seconds - facts.load_patience))
+    return Refusal("no_place_in_time", spread_retry(soonest - facts.load_patience))
 
 
 def is_within_cold_rate(state, cold_rate_limit, now):
@@ -198,18 +200,25 @@
 def _cost_with_load(state, rank, demand, facts, now):
     """Return the estimated seconds until the first byte, with a load before it."""
     cost = _cost(state, demand, facts, now) + RANK_SECONDS * rank
-    cost += _load_seconds(state, demand.adapter_key, facts, now)
+    cost += _load_seconds(state, demand, facts, now)
     return cost + LOAD_FAILURE_SECONDS * (state.name in facts.load_failures)
 
 
-def _load_seconds(state, adapter, facts, now):
-    """Return the estimated seconds until the adapter is loaded."""
-    if state.is_adapter_awaited(adapter, now):
+def _load_seconds(state, demand, facts, now):
+    """Return the estimated seconds until the adapter is loaded, and the load's cost."""
+    if state.is_adapter_awaited(demand.adapter_key, now):
         return JOIN_SECONDS
-    missing = max(0.0, 1.0 - state.open_places(now))
-    is_recent = state.recent_adapters.get(adapter, 0) >= max(1, facts.version)
-    load = RELOAD_SECONDS if is_recent else LOAD_SECONDS
-    return load + missing * PLACE_SECONDS
+    version = state.recent_adapters.get(demand.adapter_key, 0)
+    is_recent = version >= max(1, facts.version)
+    load = RELOAD_SECONDS if is_recent else LOAD_SECONDS + FETCH_SECONDS
+    return load + PLACE_SECONDS * _missing_places(state, demand, now)
+
+
+def _missing_places(state, demand, now):
+    """Return how many places must become free until the adapter can be loaded."""
+    if state.is_adapter_awaited(demand.adapter_key, now):
+        return 0.0
+    return max(0.0, 1.0 - state.open_places(now))
 
 
 def _cost_if_loaded(state, demand, facts, now):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -250,3 +250,45 @@
     if drawn < 0.2:
         return "a0"
     return "" if drawn < 0.5 else f"a{rng.randint(1, ENGINES - 1)}"
+
+
+def test_an_adapter_returns_to_the_engine_that_had_it_lately():
+    """A reload takes a tenth of the time and nothing from the weight store."""
+    for number in range(9):
+        states = [engine(f"e{n}", ["a"] if n == number else []) for n in range(9)]
+        first = states[number]
+        assert choose_back_end(states, demand("a"), FACTS, 0.0).state is first
+        first.set_loaded_models((LoadedModel("m", 1, {}),))
+        again = choose_back_end(states, demand("a"), FACTS, 0.0)
+        assert again.needs_load
+        assert again.state is first
+
+
+def test_an_engine_without_open_places_is_avoided():
+    states = [engine(f"e{n}") for n in range(4)]
+    for state in states[:3]:
+        state.record_open_places(0, 0.0)
+    for number in range(20):
+        chosen = choose_back_end(states, demand(f"a{number}"), FACTS, 0.0)
+        assert chosen.state is states[3]
+
+
+def test_a_request_joins_the_load_that_another_one_awaits():
+    states = [engine(f"e{n}") for n in range(4)]
+    states[2].begin_wait("m/a")
+    states[2].record_open_places(0, 0.0)
+    chosen = choose_back_end(states, demand("a"), FACTS, 0.0)
+    assert chosen.state is states[2]
+
+
+def test_a_request_is_refused_at_once_when_no_place_is_expected_in_time():
+    states = [engine(f"e{n}") for n in range(4)]
+    for state in states:
+        state.record_open_places(-30, 0.0)
+    facts = ChoiceFacts("z1", load_patience=1.5)
+    refusals = [choose_back_end(states, demand("a"), facts, 0.0) for _ in range(20)]
+    assert all(refusal.reason == "no_place_in_time" for refusal in refusals)
+    assert len({refusal.retry_after for refusal in refusals}) > 10
+    assert all(0.5 < refusal.retry_after < 5.0 for refusal in refusals)
+    states[1].set_loaded_models((LoadedModel("m", 1, {"a": 1}),))
+    assert choose_back_end(states, demand("a"), facts, 0.0).state is states[1]
