--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -139,6 +139,11 @@
         """Return the `StoreCache`."""
         return self._store_cache
 
+    @property
+    def routing_table(self):
+        """Return the `RoutingTable` in force, ``None`` if none was read yet."""
+        return self._fleet.table
+
     @property
     def mesh(self):
         """Return the `Mesh` of links to the other daemons."""
--- a/tests/edgefleet.py
+++ b/tests/edgefleet.py
@@ -149,6 +149,11 @@
         """Put a configuration in force."""
         self.store.put("config", "main", document)
 
+    def has_adopted(self, version):
+        """Return whether all daemons use this version of the configuration."""
+        tables = [daemon.routing_table for daemon in self.daemons]
+        return all(table and table.version >= version for table in tables)
+
     async def add_daemon(self, settings=None):
         """Start one more daemon, or one with the settings of an earlier one."""
         if settings is None:
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -101,7 +101,7 @@
     async def scenario(sink):
         async with running_fleet() as fleet:
             fleet.configure(configuration(2, rate=10, burst=10))
-            await asyncio.sleep(0.4)
+            await fleet.until(lambda: fleet.has_adopted(2))
             for number in range(3):
                 await fleet.call(b"/read/x", id=f"q{number}", tokens="90,10")
 
