--- a/bench/simulation/scenario.py
+++ b/bench/simulation/scenario.py
@@ -108,10 +108,15 @@
         Number of daemons and of engines.
     `news_seconds`
         Interval at which daemons learn the others' load and the loaded adapters.
+    `hop_seconds`
+        Time that a message takes from one machine to another.
     `plain_share`
         Fraction of the requests that need no adapter.
     `adapters`, `skew`
         Number of adapters, and the exponent of their Zipf popularity.
+    `queue`, `reservation_seconds`
+        The `queue_order` of requests that wait for a place, and the seconds for which a
+        loaded adapter is reserved for the requests that waited for it.
     `load_seconds`, `recent_factor`, `loads_at_once`
         Duration of an adapter's load; the factor on it for an adapter that the engine
         had loaded before; the number of concurrent loads over all engines beyond which
@@ -125,9 +130,12 @@
     engine: EngineModel = EngineModel()
     kinds: list[Kind]
     news_seconds: float = 0.15
+    hop_seconds: float = 0.002
     plain_share: float = 0.3
     adapters: int = 10_000
     skew: float = 0.8
+    queue: str = "longest_wait"
+    reservation_seconds: float = 0.25
     load_seconds: float = 0.25
     recent_factor: float = 0.1
     loads_at_once: int = 40
--- a/rosemarypath/enginecontroller.py
+++ b/rosemarypath/enginecontroller.py
@@ -483,12 +483,10 @@
         )
 
     def _resolve(self, name, outcome):
-        group = self._queue.pop(name)
-        if group is None:
-            return
-        if outcome.is_loaded and group.has_remote:
+        waiters = self._queue.pop(name)
+        if outcome.is_loaded and any(waiter.is_remote for waiter in waiters):
             self._reservations.reserve(name, now())
-        for waiter in group.waiters:
+        for waiter in waiters:
             if not waiter.ticket.done():
                 waiter.ticket.set_result(outcome)
 
--- a/rosemarypath/scheduling/loadqueue.py
+++ b/rosemarypath/scheduling/loadqueue.py
@@ -52,11 +52,6 @@
         """Return ``model/adapter``."""
         return f"{self.model}/{self.adapter}"
 
-    @property
-    def has_remote(self):
-        """Return whether one of the requests waits at another daemon."""
-        return any(waiter.is_remote for waiter in self.waiters)
-
 
 @queue_order("longest_wait")
 def sort_by_wait(groups, now):
@@ -111,8 +106,12 @@
             del self._groups[group.name]
 
     def pop(self, name):
-        """Remove and return the group of an adapter, ``None`` if nobody waits."""
-        return self._groups.pop(name, None)
+        """Remove the group of an adapter and return its waiters."""
+        group = self._groups.pop(name, None)
+        if group is None:
+            return []
+        waiters, group.waiters = group.waiters, []
+        return waiters
 
     def ordered(self, now):
         """Return the groups in the order in which their adapters are to be loaded."""
