Send no order without its count, and let a new version take its own place

Cause: found when reading the diff. (2) The reservations kept an outdated adapter for the requests that wait for its newer version, which then waited for another place. Change: all copies of an order carry the count known at its start, and none is sent once the count was discarded; an outdated adapter is not kept for those that wait.

--- a/rosemarypath/enginecontroller.py
+++ b/rosemarypath/enginecontroller.py
@@ -40,6 +40,10 @@
     """The lease of an engine no longer allows orders from this daemon."""
 
 
+class StaleCountError(RosemarypathError):
+    """The engine's count of orders is not known any more."""
+
+
 @dataclass(frozen=True)
 class LoadOutcome:
     """Whether an adapter is loaded now; `reason` is the code of why it is not."""
@@ -224,9 +228,17 @@
         except LeaseLapsedError:
             self._log.write("orders", "lapsed", engine=self.state.name)
             self._fail_all("not_confirmed")
+        except StaleCountError:
+            # A request found that the known state is wrong; a report comes first.
+            self._log.write("orders", "stale", engine=self.state.name)
+            self._wake_up.set()
 
     async def _run_steps(self, plan, fence):
-        """Send the orders of one pass; raises `LeaseLapsedError`."""
+        """
+        Send the orders of one pass.
+
+        Raises `LeaseLapsedError` or `StaleCountError`.
+        """
         if not await self._ensure_model(plan, fence):
             return
         for step in (
@@ -321,15 +333,22 @@
 
         All copies carry the same count of accepted orders, so that the engine carries
         out at most one of them, however late; a conflict shows that it did. Raises
-        `LeaseLapsedError` once the lease no longer allows the order.
+        `LeaseLapsedError` once the lease no longer allows the order, and
+        `StaleCountError` if the count was discarded.
         """
+        count = self._order_count
         while True:
+            if self._order_count is None:
+                raise StaleCountError(
+                    f"the count of orders of {self.state.name} is unknown",
+                    "read a report",
+                )
             # Earlier orders, or a pause of the process, may have outlasted the lease.
             if self._leases.fencing_token(self.state.name, lease_now()) != fence:
                 raise LeaseLapsedError(
                     f"the lease of {self.state.name} lapsed", "confirm it again"
                 )
-            result = await send(self._order_count)
+            result = await send(count)
             self._record_order(verb, name, result)
             if result.is_answered or self.is_unresponsive(now()):
                 return result
@@ -411,11 +430,13 @@
 
     def _is_needed(self, name, at):
         """Return whether requests use an adapter, or are about to."""
-        return (
-            self.state.is_adapter_in_use(name, at)
-            or self.state.is_adapter_awaited(name, at)
-            or self._reservations.is_reserved(name, at)
-        )
+        if self.state.is_adapter_in_use(name, at):
+            return True
+        if self._adapters.loaded.get(name, 0) < self._version_of(name):
+            # Those that wait need the newer version, which may take its place.
+            return False
+        is_awaited = self.state.is_adapter_awaited(name, at)
+        return is_awaited or self._reservations.is_reserved(name, at)
 
     async def _unload(self, name, fence):
         """Unload an adapter; return whether its place is already free."""
--- a/tests/test_enginecontroller.py
+++ b/tests/test_enginecontroller.py
@@ -381,3 +381,50 @@
     assert outcome.reason == "not_confirmed"
     assert engine.orders == 1
     assert not engine.coming
+
+
+def test_no_order_is_sent_without_the_count_of_orders():
+    """A request finds an adapter missing during an order for another one."""
+    engine = MemoryEngine()
+    engine.held = {"a": 1, "b": 1, "c": 1}
+    counts = []
+
+    class Recording:
+        """Passes orders on and records the counts that they carry."""
+
+        report = engine.report
+
+        async def load(self, *order):
+            counts.append(order[-1])
+            return await engine.load(*order)
+
+        async def unload(self, *order):
+            counts.append(order[-1])
+            result = await engine.unload(*order)
+            controllers[0].record_missing("m/b")
+            return result
+
+    controllers = []
+
+    async def scenario(controller):
+        controllers.append(controller)
+        controller._client = Recording()
+        return await controller.ensure_loaded("m", "d", 2.0)
+
+    assert run_with(engine, scenario).is_loaded
+    assert counts and None not in counts
+
+
+def test_a_new_version_takes_the_place_of_the_outdated_one_that_is_awaited():
+    engine = MemoryEngine()
+    engine.held = {"a": 1, "b": 1, "c": 1}
+    engine.newest = {"c": 2}
+
+    async def scenario(controller):
+        for name in ("m/a", "m/b"):
+            controller.state.own.adapters[name] = 1
+        controller.state.begin_wait("m/c")
+        return await controller.ensure_loaded("m", "c", 1.0)
+
+    assert run_with(engine, scenario).is_loaded
+    assert engine.held == {"a": 1, "b": 1, "c": 2}
