--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -74,7 +74,11 @@
             peers_address=settings.peers_address,
         )
         self._peers = Peers(own, now(), lease_now())
-        self._mesh = Mesh(own.identity, settings.peers_address)
+        self._mesh = Mesh(
+            own.identity,
+            settings.peers_address,
+            on_silent=lambda peer: self._log.write("link", "silent", peer=peer),
+        )
         self._store_cache = StoreCache(
             self._store,
             self._peers,
--- a/rosemarypath/link.py
+++ b/rosemarypath/link.py
@@ -79,11 +79,17 @@
         self._disconnect()
 
     def reconnect_if_silent(self, now, seconds):
-        """Drop the connection if the peer answered nothing on it for `seconds`."""
+        """
+        Drop the connection if the peer answered nothing on it for `seconds`.
+
+        Returns whether it was dropped.
+        """
         since = self._unanswered_since
-        if since is not None and now - since >= seconds:
-            self._unanswered_since = None
-            self._disconnect()
+        if since is None or now - since < seconds:
+            return False
+        self._unanswered_since = None
+        self._disconnect()
+        return True
 
     def reconnect_if_silent_since(self, asked_at):
         """Drop the connection if it predates an ask and brought no answer since."""
@@ -196,11 +202,20 @@
         ``host:port`` where peers connect.
     `dial_address`
         Function that maps a peer's address to the address to connect to instead.
+    ``on_silent(identity)``
+        Called when the connection to a peer is dropped because it was silent.
     """
 
-    def __init__(self, identity, listen_address, dial_address=lambda address: address):
+    def __init__(
+        self,
+        identity,
+        listen_address,
+        dial_address=lambda address: address,
+        on_silent=lambda identity: None,
+    ):
         self._listen_address = listen_address
         self._dial_address = dial_address
+        self._on_silent = on_silent
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Batch)
         self._links = {}
@@ -292,7 +307,8 @@
     def reconnect_silent_links(self, now, seconds):
         """Drop the connections on which no answer was received for `seconds`."""
         for link in self._links.values():
-            link.reconnect_if_silent(now, seconds)
+            if link.reconnect_if_silent(now, seconds):
+                self._on_silent(link.identity)
 
     def note_answer(self, identity):
         """Record that `identity` answered a message sent with `expect_answer`."""
--- a/rosemarypath/storecache.py
+++ b/rosemarypath/storecache.py
@@ -180,6 +180,13 @@
 
     def request_snapshot(self, identity, mirror):
         """Ask a peer for a snapshot of a kind."""
+        self._log.write(
+            "store",
+            "requested",
+            kind=mirror.kind,
+            revision=mirror.revision,
+            peer=identity,
+        )
         self._mesh.send(identity, MirrorAsk(mirror.kind, mirror.revision))
 
     def _handle_newer_revision(self, identity, mirror, revision, now):
