Acknowledge batches between daemons, so that a silent link is found

Cause: each direction between two daemons is a connection of its own, and a heartbeat of the peer counted as the answer to what was sent on ours. A connection that fell silent alone was kept for good; the sound one of the other side was dropped every 0.9 s instead. A machine that had missed a relayed change asked its peers for it into silent connections until the kernel ended its own watch, 3 s after the silence began. Class: liveness of one connection taken as evidence for another.

Now each batch carries its number and that of the last batch received from the receiver; only that acknowledges. Asks use the same number. A daemon of the version before does not number batches; any batch of it acknowledges, as before. Mesh.note_answer and its callers go.

--- a/rosemarypath/frames.py
+++ b/rosemarypath/frames.py
@@ -9,7 +9,9 @@
 
 from rosemarypath import messages, peermessages
 
-__all__ = ["Batch", "Frame"]
+__all__ = ["NOT_TOLD", "Batch", "Frame"]
+
+NOT_TOLD = -1
 
 Body = (
     messages.Heartbeat
@@ -67,10 +69,15 @@
     Messages sent together from one incarnation of a daemon to another.
 
     `sender` and `receiver` are ``name/incarnation``, `sender_address` is the
-    ``host:port`` where the sender listens.
+    ``host:port`` where the sender listens. `number` grows with each batch that the
+    sender sends to anybody; `received_number` is that of the last batch which the
+    sender received from the receiver: 0 before the first, `NOT_TOLD` from a daemon that
+    does not number batches.
     """
 
     sender: str
     sender_address: str
     receiver: str
     frames: list[Frame]
+    number: int = 0
+    received_number: int = NOT_TOLD
--- a/rosemarypath/heartbeats.py
+++ b/rosemarypath/heartbeats.py
@@ -207,7 +207,6 @@
         peer = self._peers.record_heartbeat(identity, state, at, lease_now())
         if peer is None:
             return
-        self._mesh.note_answer(identity)
         self._store_cache.availability.note_answer(
             at - state.store_answer_age, at - state.reachable_seconds
         )
@@ -230,7 +229,6 @@
     def _on_digest(self, identity, digest):
         """Record a digest of another group or, from the own leader, of all others."""
         at = now()
-        self._mesh.note_answer(identity)
         sender = self._peers.find(identity)
         if sender is None:
             return
--- a/rosemarypath/link.py
+++ b/rosemarypath/link.py
@@ -6,6 +6,9 @@
 
 A message may be lost, for example when its receiver is down or restarts. An ask is a
 message that expects a reply.
+
+Each direction has a connection of its own, and either may fall silent alone. Batches
+are therefore acknowledged by number in the batches of the other direction.
 """
 
 import asyncio
@@ -16,7 +19,7 @@
 
 import msgspec
 
-from rosemarypath.frames import Batch, Frame
+from rosemarypath.frames import NOT_TOLD, Batch, Frame
 from rosemarypath.log import get_logger
 
 __all__ = ["Link", "Mesh"]
@@ -48,7 +51,8 @@
         self._frames = []
         self._has_work = asyncio.Event()
         self._unanswered_since = None
-        self._answered_at = 0.0
+        self._unanswered_number = None
+        self._acknowledged_number = 0
         self._connect_started_at = 0.0
         self._task = asyncio.create_task(self._run())
         self.identity = identity
@@ -68,10 +72,13 @@
         if self._unanswered_since is None:
             self._unanswered_since = now
 
-    def note_answer(self):
-        """Record that the peer answered a message sent on this link."""
-        self._unanswered_since = None
-        self._answered_at = time.monotonic()
+    def record_acknowledgement(self, number):
+        """Record that the peer has received the batch `number`."""
+        self._acknowledged_number = max(self._acknowledged_number, number)
+        expected = self._unanswered_number
+        if expected is not None and number >= expected:
+            self._unanswered_since = None
+            self._unanswered_number = None
 
     def close(self):
         """End the task and close the connection."""
@@ -87,16 +94,22 @@
         since = self._unanswered_since
         if since is None or now - since < seconds:
             return False
-        self._unanswered_since = None
+        was_connected = self._writer is not None
         self._disconnect()
-        return True
+        return was_connected
 
-    def reconnect_if_silent_since(self, asked_at):
-        """Drop the connection if it predates an ask and brought no answer since."""
-        if max(self._answered_at, self._connect_started_at) < asked_at:
+    def reconnect_if_unacknowledged(self, number, asked_at):
+        """
+        Drop the connection if the peer has received no batch after `number`.
+
+        A connection that was opened after `asked_at` is kept.
+        """
+        if self._acknowledged_number <= number and self._connect_started_at < asked_at:
             self._disconnect()
 
     def _disconnect(self):
+        self._unanswered_since = None
+        self._unanswered_number = None
         if self._writer is not None:
             self._writer.transport.abort()
             self._writer = None
@@ -144,7 +157,9 @@
         if is_full:
             self._drop(frames)
             return
-        data = self._mesh.encode(self.identity, frames)
+        number, data = self._mesh.encode(self.identity, frames)
+        if self._unanswered_since is not None and self._unanswered_number is None:
+            self._unanswered_number = number
         writer.write(LENGTH.pack(len(data)) + data)
 
     def _drop(self, frames):
@@ -223,6 +238,8 @@
         self._handlers = {}
         self._pending_asks = {}
         self._message_numbers = itertools.count(1)
+        self._batch_number = 0
+        self._received_numbers = {}
         self._server = None
         self._open_transports = set()
         self._tasks = set()
@@ -274,13 +291,14 @@
         for identity in [i for i in self._links if i not in identities]:
             self._links.pop(identity).close()
             self._addresses.pop(identity, None)
+            self._received_numbers.pop(identity, None)
 
     def send(self, identity, message, expect_answer=False):
         """
         Send `message` without waiting; it may be lost.
 
-        With `expect_answer`, `reconnect_silent_links` reconnects the link unless
-        `note_answer` is called for the peer in time.
+        With `expect_answer`, `reconnect_silent_links` reconnects the link unless the
+        peer acknowledges it in time with a message of its own.
         """
         self._enqueue_frame(identity, Frame(0, 0, message), expect_answer)
 
@@ -293,13 +311,14 @@
         self._pending_asks[number] = future
         try:
             asked_at = time.monotonic()
+            last_batch = self._batch_number
             self._enqueue_frame(identity, Frame(number, 0, message))
             async with asyncio.timeout(timeout):
                 return await future
         except TimeoutError:
             link = self._links.get(identity)
             if link is not None:
-                link.reconnect_if_silent_since(asked_at)
+                link.reconnect_if_unacknowledged(last_batch, asked_at)
             return None
         finally:
             del self._pending_asks[number]
@@ -310,20 +329,22 @@
             if link.reconnect_if_silent(now, seconds):
                 self._on_silent(link.identity)
 
-    def note_answer(self, identity):
-        """Record that `identity` answered a message sent with `expect_answer`."""
-        link = self._links.get(identity)
-        if link is not None:
-            link.note_answer()
-
     def encode(self, receiver, frames):
-        """Return the bytes of one batch for the peer `receiver`, and count them."""
-        batch = Batch(self.identity, self._listen_address, receiver, frames)
+        """Return number and bytes of one batch for the peer `receiver`; count them."""
+        self._batch_number += 1
+        batch = Batch(
+            self.identity,
+            self._listen_address,
+            receiver,
+            frames,
+            self._batch_number,
+            self._received_numbers.get(receiver, 0),
+        )
         data = self._encoder.encode(batch)
         self.counts["batches_sent"] += 1
         self.counts["frames_sent"] += len(frames)
         self.counts["bytes_sent"] += len(data)
-        return data
+        return batch.number, data
 
     def _enqueue_frame(self, identity, frame, expect_answer=False):
         if identity == self.identity:
@@ -356,12 +377,24 @@
             self.counts["stale_receiver"] += 1
             return
         self._addresses[batch.sender] = batch.sender_address
+        self._record_numbers(batch)
         for frame in batch.frames:
             self._deliver_frame(batch.sender, frame)
 
+    def _record_numbers(self, batch):
+        """Record the number of a batch, and which own batch it acknowledges."""
+        known = self._received_numbers.get(batch.sender, 0)
+        self._received_numbers[batch.sender] = max(batch.number, known)
+        link = self._links.get(batch.sender)
+        if link is None:
+            return
+        is_told = batch.received_number != NOT_TOLD
+        link.record_acknowledgement(
+            batch.received_number if is_told else self._batch_number
+        )
+
     def _deliver_frame(self, sender, frame):
         if frame.reply_to:
-            self.note_answer(sender)
             future = self._pending_asks.get(frame.reply_to)
             if future is not None and not future.done():
                 future.set_result(frame.body)
--- a/rosemarypath/membership.py
+++ b/rosemarypath/membership.py
@@ -433,7 +433,6 @@
         self._mesh.send(sender, ack)
 
     def _on_heartbeat_ack(self, sender, message):
-        self._mesh.note_answer(sender)
         if not message.accepted:
             self.lease.record_refusal(sender)
             return
--- a/standins/simulatedfleet.py
+++ b/standins/simulatedfleet.py
@@ -75,9 +75,6 @@
     async def ask(self, identity, message, timeout):
         return self._network.deliver(self.identity, identity, message)
 
-    def note_answer(self, identity):
-        """Take the place of `Mesh.note_answer`."""
-
 
 class FakeFleet:
     """Loads and grants of one daemon, and what it hears of those of the others."""
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -37,20 +37,15 @@
     received = {"a/1": [], "b/1": []}
     for mesh in (first, second):
         await mesh.start()
-        mesh.on(LeasePing, new_handler(mesh, received[mesh.identity]))
+        mesh.on(LeasePing, new_handler(received[mesh.identity]))
     return SimpleNamespace(
         first=first, second=second, wire=wire, received=received, silent=silent
     )
 
 
-def new_handler(mesh, numbers):
-    """Return a handler that records heartbeats as `Heartbeats` does."""
-
-    def on_ping(sender, ping):
-        mesh.note_answer(sender)
-        numbers.append(ping.number)
-
-    return on_ping
+def new_handler(numbers):
+    """Return a handler that records the numbers of the heartbeats."""
+    return lambda sender, ping: numbers.append(ping.number)
 
 
 async def exchange(pair, numbers):
