--- a/rosemarypath/mirror.py
+++ b/rosemarypath/mirror.py
@@ -207,8 +207,9 @@
         The `StoreHealth` and the `StoreAvailability`, told of each answer.
     `role`
         The `WatchRole`; the watcher pauses while it is off.
-    ``on_events(mirror, since, events)``
-        Called with the events of a watch that began at the revision `since`.
+    ``on_events(mirror, since, revision, events)``
+        Called with the events of a watch that began at the revision `since` and reaches
+        up to `revision`. The copy may be newer than that.
     `batch_seconds`
         Pause after a watch that returned events.
     ``watch_seconds(kind)``
@@ -280,7 +281,7 @@
             mirror.apply(events, revision)
         mirror.read_at = asked_at
         if events:
-            self._on_events(mirror, since, events)
+            self._on_events(mirror, since, revision, events)
             await asyncio.sleep(self._batch_seconds)
 
     def _note_answer(self):
--- a/rosemarypath/storecache.py
+++ b/rosemarypath/storecache.py
@@ -200,12 +200,12 @@
             self._newer_revisions[mirror.kind] = _NewerRevision(revision, now)
             self.request_snapshot(identity, mirror)
 
-    def _relay_events(self, mirror, since, events):
+    def _relay_events(self, mirror, since, revision, events):
         """Send the events of a watch to the daemons that this one relays to."""
         message = MirrorEvents(
             mirror.kind,
             since,
-            mirror.revision,
+            revision,
             self.availability.reachable_seconds(now()),
             [(o.name, o.version, o.spec, is_removed) for o, is_removed in events],
         )
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -126,7 +126,7 @@
     health = StoreHealth(lambda is_up, reason: states.append(is_up))
 
     async def run():
-        on_events = lambda mirror, since, events: None  # noqa: E731
+        on_events = lambda mirror, since, revision, events: None  # noqa: E731
         availability = StoreAvailability(1.7)
         watcher = Watcher(
             store,
@@ -177,7 +177,7 @@
     async def run():
         for kind in ("long", "short"):
             mirror = Mirror(kind, lambda changed, removed: None)
-            on_events = lambda mirror, since, events: None  # noqa: E731
+            on_events = lambda mirror, since, revision, events: None  # noqa: E731
             role = roles[kind]
             watcher = Watcher(
                 store, mirror, health, StoreAvailability(1.7), role, on_events
