Compress large lists of objects between daemons

Unreadable bytes leave the copy as it is, with a log line.

Test: the relays to 23 machines of such a configuration fit into 0.33 s on 10 Mbit/s (failed before: the field did not exist; the plain message takes 1.1 s).

--- a/rosemarypath/link.py
+++ b/rosemarypath/link.py
@@ -329,6 +329,14 @@
             if link.reconnect_if_silent(now, seconds):
                 self._on_silent(link.identity)
 
+    def numbers_batches(self, identity):
+        """
+        Return whether `identity` numbers its batches.
+
+        Daemons that do also read packed messages; older ones do neither.
+        """
+        return self._received_numbers.get(identity, 0) > 0
+
     def encode(self, receiver, frames):
         """Return number and bytes of one batch for the peer `receiver`; count them."""
         self._batch_number += 1
--- a/rosemarypath/peermessages.py
+++ b/rosemarypath/peermessages.py
@@ -192,11 +192,16 @@
 
 
 class MirrorSnapshot(Message):
-    """All objects of one kind at a revision: name, version and content of each."""
+    """
+    All objects of one kind at a revision: name, version and content of each.
+
+    A large list is in `packed` instead, see `rosemarypath.packing`.
+    """
 
     kind: str
     revision: int
     objects: list[tuple[str, int, object]]
+    packed: bytes = b""
 
 
 class MirrorEvents(Message):
@@ -205,7 +210,7 @@
 
     The changes lie after the revision `since`, up to `revision`. Each entry of `events`
     is name, version, content and whether the object was removed. `reachable_seconds` is
-    as in `PeerState`.
+    as in `PeerState`. A large list is in `packed` instead, see `rosemarypath.packing`.
     """
 
     kind: str
@@ -213,6 +218,7 @@
     revision: int
     reachable_seconds: float
     events: list[tuple[str, int, object, bool]]
+    packed: bytes = b""
 
 
 class LoadAsk(Message):
--- a/rosemarypath/storecache.py
+++ b/rosemarypath/storecache.py
@@ -12,6 +12,8 @@
 
 from dataclasses import dataclass
 
+import msgspec
+
 from rosemarypath.clock import lease_now, now
 from rosemarypath.mirror import (
     PROBE_SECONDS,
@@ -21,6 +23,7 @@
     Watcher,
     WatchRole,
 )
+from rosemarypath.packing import UnpackError, pack, unpack
 from rosemarypath.peermessages import (
     FreshnessAsk,
     FreshnessReply,
@@ -209,11 +212,27 @@
             self.availability.reachable_seconds(now()),
             [(o.name, o.version, o.spec, is_removed) for o, is_removed in events],
         )
+        packed = pack(message.events)
+        smaller = msgspec.structs.replace(message, events=[], packed=packed)
         own = self._peers.own.name
         for name, peer in self._peers.by_name.items():
             is_served = self._peers.relay_for(self._watchers, name) == own
             if is_served and name not in self._watchers:
-                self._mesh.send(peer.machine.identity, message)
+                receiver = peer.machine.identity
+                reads_packed = self._mesh.numbers_batches(receiver)
+                self._mesh.send(
+                    receiver, smaller if packed and reads_packed else message
+                )
+
+    def _unpack(self, identity, entries, packed):
+        """Return the entries of a peer's message, ``None`` if they are unreadable."""
+        if not packed:
+            return entries
+        try:
+            return unpack(packed)
+        except UnpackError as error:
+            self._log.write("store", "error", peer=identity, detail=error.message)
+            return None
 
     def _on_events(self, identity, message):
         mirror = self._mirrors.get(message.kind)
@@ -224,7 +243,10 @@
         if mirror.revision < message.since:
             self.request_snapshot(identity, mirror)
             return
-        events = [(StoredObject(*fields[:3]), fields[3]) for fields in message.events]
+        entries = self._unpack(identity, message.events, message.packed)
+        if entries is None:
+            return
+        events = [(StoredObject(*fields[:3]), fields[3]) for fields in entries]
         mirror.apply(events, message.revision)
 
     def _on_mirror_ask(self, identity, ask):
@@ -232,7 +254,12 @@
         if mirror is None or not mirror.is_known or mirror.revision <= ask.revision:
             return
         objects = [(o.name, o.version, o.spec) for o in mirror.objects.values()]
-        self._mesh.send(identity, MirrorSnapshot(ask.kind, mirror.revision, objects))
+        packed = pack(objects) if self._mesh.numbers_batches(identity) else b""
+        if packed:
+            objects = []
+        self._mesh.send(
+            identity, MirrorSnapshot(ask.kind, mirror.revision, objects, packed)
+        )
 
     def _on_freshness_ask(self, identity, ask):
         mirror = self._mirrors.get(ask.kind)
@@ -244,7 +271,10 @@
         mirror = self._mirrors.get(message.kind)
         if mirror is None or mirror.is_current(message.revision):
             return
-        objects = [StoredObject(*fields) for fields in message.objects]
+        entries = self._unpack(identity, message.objects, message.packed)
+        if entries is None:
+            return
+        objects = [StoredObject(*fields) for fields in entries]
         mirror.replace(objects, message.revision)
         self._log.write(
             "store", "relayed", kind=message.kind, revision=message.revision
--- a/standins/simulatedfleet.py
+++ b/standins/simulatedfleet.py
@@ -75,6 +75,9 @@
     async def ask(self, identity, message, timeout):
         return self._network.deliver(self.identity, identity, message)
 
+    def numbers_batches(self, identity):
+        return True
+
 
 class FakeFleet:
     """Loads and grants of one daemon, and what it hears of those of the others."""
--- a/tests/test_storecache.py
+++ b/tests/test_storecache.py
@@ -6,16 +6,22 @@
 """
 
 import asyncio
+import random
 
+import msgspec
 import pytest
 
 from rosemarypath.machine import Machine
-from rosemarypath.peermessages import MirrorAsk, MirrorEvents
+from rosemarypath.packing import UnpackError, pack, unpack
+from rosemarypath.peermessages import MirrorAsk, MirrorEvents, MirrorSnapshot
 from rosemarypath.peers import Peers
 from rosemarypath.storecache import StoreCache
 from rosemarypath.stored import StoredObject
+from tests.edgefleet import configuration
 
 KIND = "config"
+CHANGE_INTERVAL_SECONDS = 0.33  # between two changes of the platform's fastest series
+SMALL_LINK_BITS_PER_SECOND = 10e6
 
 
 def machine(name, zone):
@@ -41,6 +47,7 @@
     def __init__(self):
         self.handlers = {}
         self.sent = []
+        self.older_daemons = set()
 
     def on(self, message_type, handler):
         self.handlers[message_type] = handler
@@ -48,6 +55,9 @@
     def send(self, identity, message, expect_answer=False):
         self.sent.append(message)
 
+    def numbers_batches(self, identity):
+        return identity.split("/")[0] not in self.older_daemons
+
 
 class Store:
     """Lists `objects`, then answers watches with what ``answer()`` returns."""
@@ -130,3 +140,75 @@
     served.receive(MirrorEvents(KIND, 1, 6, 100.0, fields))
     assert served.copy.objects["main"].spec == "version 9"
     assert served.copy.revision == 9
+
+
+def large_configuration():
+    """Return a configuration of 350 routes with names as random as the platform's."""
+    rng = random.Random(1)
+    word = lambda: f"{rng.getrandbits(48):012x}"  # noqa: E731
+    routes = [
+        {"name": word(), "pathPrefix": f"/{word()}/", "kind": "safe", "maxAttempts": 2}
+        for _ in range(350)
+    ]
+    return StoredObject("main", 9, configuration(routes=routes))
+
+
+def watch_one_change(daemon, store, stored):
+    """Let a daemon watch the store until it has relayed one change."""
+
+    async def play():
+        store.answer = lambda: ([(stored, False)], stored.version)
+        daemon.cache.health.note_answer(5.0)
+        daemon.cache.choose_watchers(5.0)
+        tasks = []
+        daemon.cache.start(lambda c: tasks.append(asyncio.create_task(c)))
+        await asyncio.sleep(0.1)
+        for task in tasks:
+            task.cancel()
+
+    asyncio.run(play())
+
+
+def test_relays_of_a_large_configuration_fit_into_a_small_link(objects):
+    store = Store([objects[1]], 1)
+    daemon = Daemon("m0", store)
+    watch_one_change(daemon, store, large_configuration())
+    (message,) = daemon.sent(MirrorEvents)
+    # A third of 68 machines gets its changes from one watching machine.
+    sent_bits = 23 * 8 * len(msgspec.msgpack.encode(message))
+    assert sent_bits / SMALL_LINK_BITS_PER_SECOND < CHANGE_INTERVAL_SECONDS
+
+
+@pytest.mark.parametrize("older_daemons", [set(), {"m1"}])
+def test_a_large_configuration_arrives_by_relay_and_by_snapshot(objects, older_daemons):
+    store = Store([objects[1]], 1)
+    watching, served = Daemon("m0", store), Daemon("m1", store)
+    watching.mesh.older_daemons = older_daemons
+    watch_one_change(watching, store, large_configuration())
+    served.cache.start(lambda coroutine: coroutine.close())
+    served.copy.replace([objects[1]], 1)
+    (message,) = watching.sent(MirrorEvents)
+    assert bool(message.events) == bool(older_daemons)
+    served.receive(message)
+    assert served.copy.objects["main"] == large_configuration()
+    late = Daemon("m1", store)
+    late.cache.start(lambda coroutine: coroutine.close())
+    watching.mesh.handlers[MirrorAsk]("m1/1", MirrorAsk(KIND, 1))
+    (snapshot,) = watching.sent(MirrorSnapshot)
+    assert bool(snapshot.objects) == bool(older_daemons)
+    late.receive(snapshot)
+    assert late.copy.objects["main"] == large_configuration()
+
+
+def test_unreadable_packed_messages_leave_the_copy_as_it_is(objects):
+    served = Daemon("m1", None)
+    served.cache.start(lambda coroutine: coroutine.close())
+    served.copy.replace([objects[1]], 1)
+    packed = pack([("main", 6, "version 6" * 1000, False)])
+    for data in (packed[:-9], b"x" + packed, b"no zlib"):
+        with pytest.raises(UnpackError):
+            unpack(data)
+        served.receive(MirrorEvents(KIND, 1, 6, 100.0, [], data))
+        served.receive(MirrorSnapshot(KIND, 6, [], data))
+    assert served.copy.objects == {"main": objects[1]}
+    assert served.copy.revision == 1
