Find silent watches of the configuration within a second and a half

Cause: a watch of it waits 20 s, and whether the store answers was judged by another connection; only the kernel's keep-alive ended it, after 3 s. The shortest bound is 2 s.

The first of the watching machines now watches the configuration for 1 s at a time; a daemon that becomes the first, or that loses the store on any connection, asks on all kinds at once. Ruled out: shorter watches on all watching machines (three times the calls for the same bound). tests/test_storecache.py silences all pending watches of it, with and without the first machine's death: not known within 2 s before, known now.

--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -88,6 +88,7 @@
             self._log,
             availability_kind=dialect.server_kind,
             freshness_kind=LEASE_KIND,
+            polled_kind=dialect.configuration_kind,
         )
         self._fleet = FleetView(
             settings,
--- a/rosemarypath/mirror.py
+++ b/rosemarypath/mirror.py
@@ -18,6 +18,7 @@
 )
 
 __all__ = [
+    "POLL_SECONDS",
     "PROBE_SECONDS",
     "WATCH_SECONDS",
     "Mirror",
@@ -28,6 +29,7 @@
 
 WATCH_SECONDS = 20.0  # long, as a watch is metered as one call however long it waits
 PROBE_SECONDS = 0.5  # for a watch that also detects when the store stops answering
+POLL_SECONDS = 1.0  # for a watch whose silence must be found within its kind's bound
 IMMEDIATE_WATCH_SECONDS = 0.001  # for only checking whether the store answers
 EVENT_BATCH_SECONDS = 0.25  # pause after events, so that one watch collects a burst
 RETRY_MIN_SECONDS = 0.1
@@ -236,6 +238,17 @@
         self._on_events = on_events
         self._batch_seconds = batch_seconds
         self._needs_list = True
+        self._wait = None
+
+    def check_soon(self):
+        """
+        End the present wait for events, and ask whether there are any.
+
+        A watch whose connection is silent looks like one without events.
+        """
+        wait, self._wait = self._wait, None
+        if wait is not None:
+            wait.reschedule(asyncio.get_running_loop().time())
 
     async def run(self):
         """Watch until cancelled."""
@@ -246,9 +259,8 @@
                 await self._role.wait_until_on()
                 is_check = True
             try:
-                await self._step(is_check)
+                is_check = not await self._step(is_check)
                 pause = RETRY_MIN_SECONDS
-                is_check = False
             except VersionGoneError:
                 self._note_answer()
                 self._needs_list = True
@@ -259,7 +271,11 @@
                 pause = min(RETRY_MAX_SECONDS, pause * 2)
 
     async def _step(self, is_check):
-        """List or watch once; with `is_check`, watch without waiting for events."""
+        """
+        List or watch once; with `is_check`, watch without waiting for events.
+
+        Returns whether the store answered; it may not if `check_soon` ended the wait.
+        """
         mirror = self._mirror
         asked_at = lease_now()
         if self._needs_list:
@@ -268,14 +284,20 @@
             mirror.replace(objects, revision)
             mirror.read_at = asked_at
             self._needs_list = False
-            return
+            return True
         since = mirror.changed_revision
         seconds = (
             IMMEDIATE_WATCH_SECONDS if is_check else self._watch_seconds(mirror.kind)
         )
-        events, revision = await self._store.watch(
-            mirror.kind, mirror.revision, seconds
-        )
+        try:
+            async with asyncio.timeout(None) as self._wait:
+                events, revision = await self._store.watch(
+                    mirror.kind, mirror.revision, seconds
+                )
+        except TimeoutError:
+            return False
+        finally:
+            self._wait = None
         self._note_answer()
         if revision > mirror.revision:
             mirror.apply(events, revision)
@@ -283,6 +305,7 @@
         if events:
             self._on_events(mirror, since, revision, events)
             await asyncio.sleep(self._batch_seconds)
+        return True
 
     def _note_answer(self):
         at = time.monotonic()
--- a/rosemarypath/storecache.py
+++ b/rosemarypath/storecache.py
@@ -16,6 +16,7 @@
 
 from rosemarypath.clock import lease_now, now
 from rosemarypath.mirror import (
+    POLL_SECONDS,
     PROBE_SECONDS,
     WATCH_SECONDS,
     Mirror,
@@ -70,10 +71,22 @@
     `freshness_kind`
         The kind whose age daemons of a large fleet query from the watching daemons; its
         watches are short in large fleets.
+    `polled_kind`
+        The kind whose changes have to be known soonest. The first of the watching
+        machines watches it for a short time, so that a change is found in time though
+        the watches of all of them are silent.
     """
 
     def __init__(
-        self, store, peers, mesh, renewal, log, availability_kind, freshness_kind
+        self,
+        store,
+        peers,
+        mesh,
+        renewal,
+        log,
+        availability_kind,
+        freshness_kind,
+        polled_kind="",
     ):
         self._store = store
         self._peers = peers
@@ -81,9 +94,12 @@
         self._log = log
         self._availability_kind = availability_kind
         self._freshness_kind = freshness_kind
+        self._polled_kind = polled_kind
+        self._is_polling = False
         self._role = WatchRole()
         self._probe_role = WatchRole()
         self._watchers = []
+        self._watchers_by_kind = {}
         self._newer_revisions = {}
         self._mirrors = {}
         self.health = StoreHealth(self._on_health)
@@ -139,6 +155,7 @@
                 self._relay_events,
                 watch_seconds=self._watch_seconds,
             )
+            self._watchers_by_kind[mirror.kind] = watcher
             spawn(watcher.run())
 
     @property
@@ -152,6 +169,8 @@
             return PROBE_SECONDS
         if kind == self._freshness_kind and self._peers.is_grouped:
             return PROBE_SECONDS
+        if kind == self._polled_kind and self._is_polling:
+            return POLL_SECONDS
         return WATCH_SECONDS
 
     def choose_watchers(self, now):
@@ -172,8 +191,16 @@
             > self.availability.outage_threshold - PROBE_MARGIN_SECONDS
         )
         self._role.set(is_on)
+        self._set_polling(own in watchers[:1])
         self._probe_role.set(is_on or is_outage_possible or not self.health.is_up)
 
+    def _set_polling(self, is_polling):
+        """Set whether this daemon watches the polled kind for a short time."""
+        begins = is_polling and not self._is_polling
+        self._is_polling = is_polling
+        if begins and self._polled_kind in self._watchers_by_kind:
+            self._watchers_by_kind[self._polled_kind].check_soon()
+
     def compare_revisions(self, identity, revisions, now):
         """Compare the revisions that a peer reports with the own copies."""
         for kind, revision in revisions.items():
@@ -285,8 +312,11 @@
 
     def _on_health(self, is_up, reason):
         if not is_up:
-            # Perhaps only one connection broke; a probe finds out immediately.
+            # Perhaps only one connection broke; a probe finds out immediately. Those
+            # of the other watches may be broken as well.
             self._probe_role.set(True)
+            for watcher in self._watchers_by_kind.values():
+                watcher.check_soon()
         self._log.write("store", "regained" if is_up else "lost", why=reason)
 
 
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -41,6 +41,8 @@
         self._events = []
         self._compacted_revision = 0
         self._changed = asyncio.Event()
+        self._watch_count = 0
+        self._silent_watches = {}
         self.revision = 1
         self.fault = ""
         self.refused = set()
@@ -106,6 +108,10 @@
         self._compacted_revision = self.revision
         self.drop_connections()
 
+    def silence_watches(self, kind):
+        """Never answer the pending watches of `kind`; keep their connections open."""
+        self._silent_watches[kind] = self._watch_count
+
     def drop_connections(self):
         """Abort all connections."""
         for listener in self._listeners:
@@ -159,7 +165,11 @@
         if since < self._compacted_revision:
             return 410, {}
         deadline = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
+        self._watch_count += 1
+        number = self._watch_count
         while True:
+            if number <= self._silent_watches.get(kind, 0):
+                await asyncio.sleep(3600)
             events = [
                 {"object": document, "removed": is_removed}
                 for revision, event_kind, document, is_removed in self._events
--- a/tests/test_storecache.py
+++ b/tests/test_storecache.py
@@ -17,11 +17,12 @@
 from rosemarypath.peers import Peers
 from rosemarypath.storecache import StoreCache
 from rosemarypath.stored import StoredObject
-from tests.edgefleet import configuration
+from tests.edgefleet import configuration, running_fleet
 
 KIND = "config"
 CHANGE_INTERVAL_SECONDS = 0.33  # between two changes of the platform's fastest series
 SMALL_LINK_BITS_PER_SECOND = 10e6
+CONFIGURATION_BOUND_SECONDS = 2.0  # the shortest that a deployment asks for
 
 
 def machine(name, zone):
@@ -212,3 +213,19 @@
         served.receive(MirrorSnapshot(KIND, 6, [], data))
     assert served.copy.objects == {"main": objects[1]}
     assert served.copy.revision == 1
+
+
+@pytest.mark.parametrize("dies", [False, True])
+def test_a_change_is_known_in_time_though_all_watches_of_it_are_silent(dies):
+    async def play():
+        async with running_fleet(5) as fleet:
+            await asyncio.sleep(1.0)
+            fleet.store.silence_watches(KIND)
+            if dies:
+                first = fleet.daemons[0].store_cache.watchers[0]
+                names = [settings.machine for settings in fleet.settings]
+                fleet.daemons.pop(names.index(first)).kill()
+            fleet.configure(configuration(version=2))
+            await fleet.until(lambda: fleet.has_adopted(2), CONFIGURATION_BOUND_SECONDS)
+
+    asyncio.run(play())
