Block prompt parts that crash engines

Cause: a request that crashed its engine was sent on to the next one, and nothing singled out what such requests share.

Decision (scheduling.quarantine, no network, now an argument): a crash counts against the parts of requests that waited there for their first event, all but the last part; an engine is taken to have crashed if the connection ends and a new one is refused. An event anywhere clears a part. Two crashes without one block it (three if it was answered in the last 10 s), for 600 s, doubled with each further crash; a suspected part waits for the evidence of others and then for its turn, so that the next crash has one cause; crashes that a blocked part explains do not count for others. Heartbeats and digests carry the evidence, at most 64 parts. Blocked requests are refused at once (503, not run, or 502 if they may have run), and looked at once more when the connection stands.

Ruled out: blaming customers, adapters or whole prompts (sound requests share them, no two prompts are alike); acquittal only by own answers (a machine sees few of each part).

--- a/rosemarypath/demand.py
+++ b/rosemarypath/demand.py
@@ -35,6 +35,8 @@
         Prompt length, and the maximum of tokens to generate.
     `last_event`
         Identifier of the event after which to resume a stream; empty for a new one.
+    `shared_parts`
+        Identifiers of the parts of the prompt that other requests may share.
     """
 
     request_id: str
@@ -45,6 +47,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     last_event: bytes = b""
+    shared_parts: tuple = ()
 
     @property
     def adapter_key(self):
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -11,6 +11,7 @@
 from rosemarypath.enginecontroller import LoadOutcome
 from rosemarypath.peermessages import LoadAsk
 from rosemarypath.scheduling.choice import is_within_cold_rate
+from rosemarypath.scheduling.quarantine import Quarantine
 from rosemarypath.tokenbuckets import BudgetBuckets, RetryBuckets
 
 __all__ = ["FleetView"]
@@ -58,6 +59,7 @@
         self.refuses_new = False
         self.back_ends = BackEnds()
         self.budgets = BudgetBuckets()
+        self.quarantine = Quarantine()
         self.leases = leases
         self.controllers = {}
         self.apply_settings(settings)
@@ -248,6 +250,7 @@
     def record_peer_state(self, identity, state, now):
         """Record loads, granted tokens and loaded adapters from a heartbeat."""
         name = identity.partition("/")[0]
+        self.quarantine.merge(state.crashes, state.begun, now)
         self.budgets.record_peer(identity, state.spent, now)
         back_ends = state.loads.keys() | state.rates.keys() | state.awaited.keys()
         self._remove_stale_loads(name, back_ends)
@@ -266,6 +269,7 @@
         `source` has the form ``name/incarnation``.
         """
         name = source.partition("/")[0]
+        self.quarantine.merge(digest.crashes, digest.begun, now)
         self.budgets.record_peer(source, digest.spent, now)
         self._remove_stale_loads(name, digest.loads.keys() | digest.awaited.keys())
         for back_end in self._reported_back_ends[name]:
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -98,6 +98,14 @@
             at = now()
             if context.remaining(at) <= 0.0:
                 return _timeout_outcome(context)
+            verdict = self._fleet.quarantine.verdict(context.demand.shared_parts, at)
+            if verdict.blocked_part:
+                outcome = _blocked_outcome(verdict)
+                return self._final_outcome(context, outcome, connection)
+            if verdict.seconds > 0.0:
+                context.enter_stage("quarantine", "", at)
+                await asyncio.sleep(min(verdict.seconds, context.remaining(at)))
+                continue
             choice = self._choose_back_end(context, at)
             if isinstance(choice, Refusal):
                 if self._should_wait_for_load(context, choice, at):
@@ -240,6 +248,17 @@
         connection.answer(outcome.status, headers)
 
 
+def _blocked_outcome(verdict):
+    facts = (("prompt_part", verdict.blocked_part), ("crashes", verdict.crashes))
+    return NotRun(
+        503,
+        "blocked_prompt",
+        "a part of the prompt crashes engines",
+        verdict.seconds,
+        log_fields=facts,
+    )
+
+
 def _timeout_outcome(context):
     if context.may_have_run:
         return Unknown(504, "deadline", "deadline exceeded")
--- a/rosemarypath/heartbeats.py
+++ b/rosemarypath/heartbeats.py
@@ -76,6 +76,7 @@
     def send_heartbeats(self, is_leaving, is_ready):
         """Send the state to the own group and, as its leader, the digests."""
         self._sent_count += 1
+        crashes, begun = self._fleet.quarantine.report(now())
         state = PeerState(
             number=self._peers.next_heartbeat_number(lease_now()),
             acknowledged_number=0,
@@ -93,6 +94,8 @@
             reachable_seconds=round(
                 self._store_cache.availability.reachable_seconds(now()), 3
             ),
+            crashes=crashes,
+            begun=begun,
         )
         reduced = self._omit_unchanged_held(state)
         for peer in self._peers.direct_peers:
@@ -178,6 +181,7 @@
         is_same = total.held == self._last_digest_held.get(scope)
         is_unchanged = is_same and self._sent_count % HELD_REPEAT_INTERVAL != 0
         self._last_digest_held[scope] = total.held
+        crashes, begun = self._fleet.quarantine.report(now())
         digest = GroupDigest(
             leader=self._peers.own.identity,
             number=self._peers.number,
@@ -192,6 +196,8 @@
             reachable_seconds=round(
                 self._store_cache.availability.reachable_seconds(now()), 3
             ),
+            crashes=crashes,
+            begun=begun,
         )
         if not is_full:
             return digest
--- a/rosemarypath/httpclient.py
+++ b/rosemarypath/httpclient.py
@@ -396,6 +396,15 @@
         self._idle.clear()
         self._in_use.clear()
 
+    async def is_refused(self, address, now, timeout):
+        """Return whether `address` refuses a new connection, as nothing listens."""
+        try:
+            connection = await self.acquire(address, now, True, timeout)
+        except ConnectError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        self.release(connection, now)
+        return False
+
     async def call(
         self,
         address,
--- a/rosemarypath/peermessages.py
+++ b/rosemarypath/peermessages.py
@@ -66,6 +66,9 @@
     `open_places`
         Maps the engines that the sender commands, if places are scarce there, to the
         number of adapters that could be loaded without waiting for a place.
+    `crashes`, `begun`
+        Evidence about prompt parts that crash engines, as `Quarantine.report` returns
+        it.
     """
 
     number: int
@@ -83,6 +86,8 @@
     reachable_seconds: float = 0.0
     awaited: dict[str, dict[str, int]] = {}
     open_places: dict[str, int] = {}
+    crashes: dict[str, dict[str, float]] = {}
+    begun: dict[str, float] = {}
 
 
 class MemberState(msgspec.Struct, frozen=True, array_like=True):
@@ -124,6 +129,8 @@
         tokens per second.
     `held`, `awaited`, `open_places`, `is_held_unchanged`, `reachable_seconds`
         As in `PeerState`.
+    `crashes`, `begun`
+        As in `PeerState`: all that the leader knows.
     `members`
         The `MemberState` of each daemon.
     `revisions`
@@ -148,6 +155,8 @@
     reachable_seconds: float = 0.0
     awaited: dict[str, dict[str, int]] = {}
     open_places: dict[str, int] = {}
+    crashes: dict[str, dict[str, float]] = {}
+    begun: dict[str, float] = {}
 
 
 class LeasePing(Message):
--- a/rosemarypath/platform/requests.py
+++ b/rosemarypath/platform/requests.py
@@ -22,6 +22,8 @@
 LAST_EVENT = b"last-event-id"
 MODEL = b"x-model"
 TOKEN_USAGE = b"x-token-usage"
+PROMPT_PREFIX = b"x-prompt-prefix"  # all parts of the prompt, not only its beginning
+MAX_SHARED_PARTS = 32  # more are not looked at
 BEARER_PREFIX = b"bearer "
 SIGNATURE = b"x-response-signature"
 NOT_EXECUTED = b"x-not-executed"
@@ -86,6 +88,7 @@
         prompt_tokens=prompt,
         output_tokens=output,
         last_event=values.get(LAST_EVENT, b""),
+        shared_parts=_parse_shared_parts(values.get(PROMPT_PREFIX, b"")),
     )
 
 
@@ -172,6 +175,16 @@
     return value[len(BEARER_PREFIX) :].strip().decode("latin-1")
 
 
+def _parse_shared_parts(value):
+    """
+    Return the identifiers in a header ``ID:TOKENS,...``, without the last one.
+
+    The last part belongs to the request alone.
+    """
+    parts = value.decode("latin-1").lower().split(",")[:-1][:MAX_SHARED_PARTS]
+    return tuple(part.partition(":")[0].strip() for part in parts)
+
+
 def _parse_token_usage(value):
     """
     Return the prompt tokens and the maximum of output tokens in a header ``IN,OUT``.
--- a/rosemarypath/requestcontext.py
+++ b/rosemarypath/requestcontext.py
@@ -130,7 +130,8 @@
     `context` is the `RequestContext`, `state` the `BackEndState`, `started` the time at
     which it began and `connect_seconds` the time that connecting took. `caller` is the
     connection to the caller, `upstream` that to the back end. `head` is the
-    `AnswerHead`; `has_first_event` and `is_complete` tell how much of the answer came.
+    `AnswerHead`; `has_first_event` and `is_complete` tell how much of the answer came,
+    `has_lost_connection` whether the connection ended before it was complete.
     """
 
     context: object
@@ -141,4 +142,5 @@
     upstream: object = None
     head: object = None
     has_first_event: bool = False
+    has_lost_connection: bool = False
     is_complete: bool = False
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -25,6 +25,7 @@
 REJECTED_WEIGHT = 0.5  # the same for a request that the back end rejected
 REJECTED_RETRY_SECONDS = 0.3  # until a full back end has capacity again
 UNREACHABLE_RETRY_SECONDS = 0.1  # short, as another back end is tried next
+CRASH_CHECK_SECONDS = 0.3  # to find out whether a back end still listens
 MISDIRECTED = 421
 WITHDRAWN = "withdrawn"  # the back end stopped accepting the request meanwhile
 
@@ -70,20 +71,49 @@
         # The latency of the answer excludes the time to connect.
         send.connect_seconds = now() - send.started
         send.started = now()
-        if not self._fleet.accepts_request(state, send.started):
+        if not self._may_send(send):
             return self._fail_withdrawn(send)
         context.sends += 1
         context.tried.append(state.name)
         state.begin_request(context.demand, send.started)
         context.end_wait()
         try:
-            return await self._exchange(send)
+            outcome = await self._exchange(send)
+            if send.has_lost_connection and not send.has_first_event:
+                await self._record_crash(send)
+            return outcome
         finally:
             if not send.is_complete:
                 send.upstream.abort()
             self._pool.release(send.upstream, now())
             state.end_request(context.demand, send.has_first_event, now())
 
+    def _may_send(self, send):
+        """Return whether the back end and the request are still eligible."""
+        parts = send.context.demand.shared_parts
+        verdict = self._fleet.quarantine.verdict(parts, send.started)
+        return not verdict.blocked_part and self._fleet.accepts_request(
+            send.state, send.started
+        )
+
+    async def _record_crash(self, send):
+        """Record a crash under the request's prompt if the back end is gone."""
+        parts = send.context.demand.shared_parts
+        address = send.state.back_end.address
+        if not parts or not await self._pool.is_refused(
+            address, now(), CRASH_CHECK_SECONDS
+        ):
+            return
+        crash = f"{send.state.name}/{send.state.entry.started_at_ms}"
+        self._fleet.quarantine.record_crash(crash, parts, now())
+        self._log.write(
+            "quarantine",
+            "crash",
+            request=send.context.id,
+            back_end=send.state.name,
+            parts=parts,
+        )
+
     async def _exchange(self, send):
         context = send.context
         try:
@@ -95,6 +125,7 @@
             async with asyncio.timeout(self._first_timeout(context, send.started)):
                 reply = await send.upstream.head()
         except ResponseError as error:
+            send.has_lost_connection = True
             return self._fail_unknown(send, "broken", error.message)
         except TimeoutError:
             return self._fail_unknown(send, "silent", "no answer before the timeout")
@@ -190,6 +221,7 @@
                     timeout = gap_timeout
                 self._write_stream(send, complete_events)
         except ResponseError as error:
+            send.has_lost_connection = True
             return self._fail_unknown(send, "broken", error.message)
         except TimeoutError:
             return self._fail_unknown(
@@ -201,10 +233,10 @@
         self._log_end(send, "answered", "stream")
         return None
 
-    @staticmethod
-    def _record_first_event(send):
+    def _record_first_event(self, send):
         """Record the first event, at which the engine has read the prompt."""
         send.has_first_event = True
+        self._fleet.quarantine.record_begun(send.context.demand.shared_parts, now())
         send.state.record_first_byte(send.context.demand)
         send.state.record_success(now(), now() - send.started)
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -19,6 +19,8 @@
 EVENT_COUNT = 6
 EVENT_INTERVAL_SECONDS = 0.01
 LOAD_SECONDS = 0.08
+PREFILL_SECONDS = 0.05
+RESTART_SECONDS = 0.4
 MODEL = "base"
 
 
@@ -58,6 +60,8 @@
     - `hangs`: never answer
     - `mute_orders`: execute a management command after 0.5 s and never answer it
     - `slow_events`: seconds between the events of a stream (not a count)
+    - `deadly_part`: part of a prompt under which the replica crashes before the first
+      event (not a count)
     """
 
     sheds: int = 0
@@ -70,6 +74,7 @@
     hangs: int = 0
     mute_orders: int = 0
     slow_events: float = EVENT_INTERVAL_SECONDS
+    deadly_part: str = ""
 
 
 @dataclass
@@ -95,13 +100,15 @@
     """
     One replica that listens at `address`.
 
-    `engine` is an `EngineState`, or ``None`` for a plain service. `requests` lists the
-    requests received, `running` holds the identifiers of the attempts in progress, and
+    `engine` is an `EngineState`, or ``None`` for a plain service. `crash_times` are the
+    times of the event loop at which it crashed. `requests` lists the requests received,
+    `running` holds the identifiers of the attempts in progress, and
     `cancelled` those that ended because the connection was closed.
     """
 
     def __init__(self, name, address, engine=None):
-        self._listener = Listener(address, self._handle, IngressLimits())
+        self._listener = self._new_listener(address)
+        self._tasks = set()
         self.name = name
         self.address = address
         self.engine = engine
@@ -109,6 +116,7 @@
         self.requests = []
         self.running = set()
         self.cancelled = []
+        self.crash_times = []
 
     async def start(self):
         """Start listening."""
@@ -116,13 +124,37 @@
 
     def close(self):
         """Stop listening and close all connections."""
+        for task in self._tasks:
+            task.cancel()
         self._listener.close()
 
+    def _new_listener(self, address):
+        return Listener(address, self._handle, IngressLimits())
+
+    def _crash(self):
+        """End all connections in an orderly way, and start empty after a while."""
+        self.crash_times.append(asyncio.get_running_loop().time())
+        listener = self._listener
+        self.engine.adapters.clear()
+        self.engine.loading.clear()
+        self._listener = self._new_listener(self.address)
+        task = asyncio.get_running_loop().create_task(self._restart())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        for connection in list(listener.connections):
+            connection.close()
+        listener.close()
+
+    async def _restart(self):
+        await asyncio.sleep(RESTART_SECONDS)
+        self.engine.command_count = 0
+        await self._listener.start()
+
     def store_entry(self, service, zone="z1", state="ready", cold_ms=0):
         """Return the entry that the replica registers in the store."""
         entry = {"service": service, "address": self.address, "zone": zone}
         entry.update(version="v1", slots=8, state=state, coldRemainingMs=cold_ms)
-        entry.update(sequence=1, born=1)
+        entry.update(sequence=1, born=1 + len(self.crash_times))
         if self.engine is not None:
             entry["models"] = self._models()
         return entry
@@ -265,6 +297,11 @@
     async def _stream(self, connection, headers, request_headers):
         first = int(request_headers.get("last-event-id") or 0) + 1
         is_truncated = self._consume_fault("truncates")
+        if self.faults.deadly_part:
+            await asyncio.sleep(PREFILL_SECONDS)
+            if self.faults.deadly_part in request_headers.get("x-prompt-prefix", ""):
+                self._crash()
+                return
         connection.write_head(200, headers)
         for number in range(first, EVENT_COUNT + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
--- a/standins/simulatedfleet.py
+++ b/standins/simulatedfleet.py
@@ -14,6 +14,7 @@
 from rosemarypath.machine import Machine
 from rosemarypath.mirror import StoreHealth
 from rosemarypath.peers import Peers
+from rosemarypath.scheduling.quarantine import Quarantine
 from rosemarypath.storeavailability import StoreAvailability
 
 __all__ = ["BEAT", "Daemon", "FakeMesh", "Network", "Play"]
@@ -85,6 +86,7 @@
     def __init__(self, number, clock):
         self._clock = clock
         self.budgets = SimpleNamespace(spent={"kiln": 0})
+        self.quarantine = Quarantine()
         self.running = 1 + number % 3
         self.held = {}
         self.awaited = {}
@@ -107,10 +109,12 @@
         return {}
 
     def record_peer_state(self, identity, state, now):
+        self.quarantine.merge(state.crashes, state.begun, now)
         self.heard[identity] = (now, state)
         self.heard_held.update(state.held)
 
     def record_digest(self, source, digest, now):
+        self.quarantine.merge(digest.crashes, digest.begun, now)
         self.heard[source] = (now, digest)
         self.heard_held.update(digest.held)
 
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,210 @@
+"""
+tests.test_quarantine
+~~~~~~~~~~~~~~~~~~~~~
+
+Parts of prompts that crash engines: evidence, blocking, release, and what callers get.
+"""
+
+import asyncio
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from rosemarypath.errors import ResponseError
+from rosemarypath.scheduling.quarantine import (
+    BLOCK_SECONDS,
+    BLOCKING_CRASHES,
+    EVIDENCE_SECONDS,
+    MAX_BEGUN_PARTS,
+    MAX_REPORTED_PARTS,
+    MAX_SUSPECTED_PARTS,
+    TURN_DELAY_SECONDS,
+    TURN_SECONDS,
+    Quarantine,
+)
+from standins.simulatedfleet import BEAT, Play
+from tests.edgefleet import running_fleet
+
+CUT = 0  # in place of a status: an answer that broke off
+
+
+@pytest.fixture
+def quarantine():
+    return Quarantine()
+
+
+def crash(quarantine, *crashes, parts=("deadly",)):
+    """Record crashes as pairs of name and time."""
+    for name, at in crashes:
+        quarantine.record_crash(name, parts, at)
+
+
+def blocked(quarantine, part, now):
+    return quarantine.verdict((part,), now).blocked_part == part
+
+
+def test_a_part_that_crashed_two_engines_is_blocked(quarantine):
+    crash(quarantine, ("a", 1.0))
+    assert not blocked(quarantine, "deadly", 1.1)
+    crash(quarantine, ("b", 1.5))
+    assert blocked(quarantine, "deadly", 1.6)
+    assert quarantine.verdict(("shared", "deadly"), 1.6).blocked_part == "deadly"
+    assert quarantine.verdict(("shared", "other"), 1.6).blocked_part == ""
+
+
+def test_one_crash_seen_by_several_requests_counts_once(quarantine):
+    crash(quarantine, ("a", 1.0), ("a", 1.0), ("a", 1.01))
+    assert not blocked(quarantine, "deadly", 2.0)
+
+
+def test_a_part_that_an_engine_begins_to_answer_is_cleared(quarantine):
+    crash(quarantine, ("a", 1.0), ("b", 1.5))
+    quarantine.record_begun(("deadly",), 1.7)
+    assert quarantine.verdict(("deadly",), 1.8).seconds == 0.0
+    assert not blocked(quarantine, "deadly", 1.8)
+
+
+def test_a_part_that_is_often_answered_needs_one_more_crash(quarantine):
+    quarantine.record_begun(("shared",), 0.9)
+    crash(quarantine, ("a", 1.0), parts=("shared",))
+    assert quarantine.verdict(("shared",), 1.0).seconds == 0.0
+    crash(quarantine, ("b", 1.3), parts=("shared",))
+    assert not blocked(quarantine, "shared", 1.4)
+    crash(quarantine, ("c", 1.6), parts=("shared",))
+    assert blocked(quarantine, "shared", 1.7)
+
+
+def test_a_suspected_part_runs_alone_after_the_evidence_of_others(quarantine):
+    for number in range(3):
+        crash(quarantine, ("a", 1.0), parts=(f"part {number}",))
+    waits = [quarantine.verdict((f"part {n}",), 1.0).seconds for n in range(3)]
+    assert waits[0] == pytest.approx(TURN_DELAY_SECONDS)
+    assert waits[1] - waits[0] == pytest.approx(TURN_SECONDS)
+    assert waits[2] - waits[1] == pytest.approx(TURN_SECONDS)
+    assert quarantine.verdict(("part 2",), 1.0 + waits[2]).seconds == 0.0
+
+
+def test_crashes_that_a_blocked_part_explains_do_not_count_for_others(quarantine):
+    crash(quarantine, ("a", 1.0), ("b", 2.0), ("c", 3.0))
+    crash(quarantine, ("a", 1.0), ("b", 2.0), parts=("beside it",))
+    assert blocked(quarantine, "deadly", 3.1)
+    assert not blocked(quarantine, "beside it", 3.1)
+
+
+def test_a_blocked_part_is_tried_again_and_then_blocked_for_longer(quarantine):
+    crash(quarantine, ("a", 0.0), ("b", 1.0))
+    assert blocked(quarantine, "deadly", 0.9 + BLOCK_SECONDS)
+    again = 1.1 + BLOCK_SECONDS
+    assert not blocked(quarantine, "deadly", again)
+    crash(quarantine, ("c", again))
+    assert blocked(quarantine, "deadly", again + 1.9 * BLOCK_SECONDS)
+
+
+def test_a_single_crash_is_forgotten(quarantine):
+    crash(quarantine, ("a", 0.0))
+    quarantine.report(EVIDENCE_SECONDS + 1.0)
+    crash(quarantine, ("b", EVIDENCE_SECONDS + 2.0))
+    assert not blocked(quarantine, "deadly", EVIDENCE_SECONDS + 2.1)
+
+
+def test_evidence_is_bounded(quarantine):
+    for number in range(3 * MAX_BEGUN_PARTS):
+        quarantine.record_begun((f"p{number}",), float(number))
+    crash(quarantine, ("a", 1e6), ("b", 1e6 + 1))
+    for number in range(3 * MAX_SUSPECTED_PARTS):
+        crash(quarantine, (f"x{number}", 1e6 + 2), parts=(f"q{number}",))
+    crashes, begun = quarantine.report(1e6 + 3)
+    assert len(crashes) <= MAX_REPORTED_PARTS and len(begun) <= MAX_REPORTED_PARTS
+    assert blocked(quarantine, "deadly", 1e6 + 3)
+    assert len(quarantine._begun_at) <= MAX_BEGUN_PARTS
+    assert len(quarantine._crashes) <= MAX_SUSPECTED_PARTS
+
+
+steps = st.lists(
+    st.tuples(
+        st.integers(0, 2),
+        st.sampled_from(["crash", "begun", "exchange"]),
+        st.sampled_from(["p", "q"]),
+        st.integers(0, 4),
+    ),
+    max_size=30,
+)
+
+
+@settings(max_examples=300, deadline=None)
+@given(steps)
+def test_daemons_that_exchange_evidence_agree(taken):
+    quarantines = [Quarantine() for _ in range(3)]
+    now = 0.0
+    for daemon, step, part, number in taken:
+        now += 0.5
+        if step == "crash":
+            quarantines[daemon].record_crash(f"engine {number}", (part,), now)
+        elif step == "begun":
+            quarantines[daemon].record_begun((part,), now)
+        else:
+            report = quarantines[daemon].report(now)
+            quarantines[number % 3].merge(*report, now)
+    for _ in range(2):
+        for source in quarantines:
+            for target in quarantines:
+                if source is not target:
+                    target.merge(*source.report(now), now)
+    for part in "pq":
+        assert len({blocked(q, part, now + 5.0) for q in quarantines}) == 1
+
+
+@pytest.mark.parametrize("total", [9, 40, 195])
+def test_all_daemons_block_a_part_that_each_crash_showed_to_another(total, monkeypatch):
+    play = Play(total, monkeypatch)
+    play.beat(3.0)
+    for number in range(BLOCKING_CRASHES):
+        daemon = play.daemons[number * (total // 3)]
+        daemon.fleet.quarantine.record_crash(f"e{number}", ("deadly",), play.now)
+        play.beat(BEAT)
+    play.beat(1.5)
+    for daemon in play.daemons:
+        assert blocked(daemon.fleet.quarantine, "deadly", play.now)
+    play.daemons[-1].fleet.quarantine.record_begun(("deadly",), play.now)
+    play.beat(1.5)
+    for daemon in play.daemons:
+        assert not blocked(daemon.fleet.quarantine, "deadly", play.now)
+
+
+def test_a_deadly_prompt_stops_crashing_engines_and_sound_ones_are_served():
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.faults.deadly_part = "dead"
+        statuses = {"dead": [], "cafe": []}
+
+        async def ask(part, number):
+            try:
+                reply = await fleet.call(
+                    b"/ask/x",
+                    daemon=number // 2 % 3,
+                    method=b"POST",
+                    adapter="a1",
+                    deadline=6000,
+                    **{"X-Prompt-Prefix": f"aa:10,{part}:5,{part}{number:04x}:9"},
+                )
+                statuses[part].append(reply.status)
+            except ResponseError:
+                statuses[part].append(CUT)
+
+        async with asyncio.TaskGroup() as tasks:
+            for number in range(60):
+                tasks.create_task(ask("cafe", number))
+                if number % 6 == 2:
+                    tasks.create_task(ask("dead", number))
+                await asyncio.sleep(0.1)
+        crashes = sum(len(engine.crash_times) for engine in fleet.engines)
+        assert crashes <= BLOCKING_CRASHES + 1
+        assert set(statuses["dead"]) <= {502, 503}
+        assert statuses["dead"].count(503) >= 6
+        assert statuses["cafe"].count(200) >= 55
+
+    async def run():
+        async with running_fleet(3) as fleet:
+            await scenario(fleet)
+
+    asyncio.run(run())
