Treat a stream that ends inside an event with its connection as broken off

Such a stream was passed on as complete, with its partial event. It is resumed now where the route allows, else the caller's answer is broken off; one without any event is no answer either (an engine that crashes as it begins to answer ends its connections in an orderly way). Whole answers already told orderly ends from resets; the product's own engines mark the end of a stream.

--- a/rosemarypath/httpclient.py
+++ b/rosemarypath/httpclient.py
@@ -127,6 +127,11 @@
         """Return whether the connection is open, so that bytes can be sent."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def is_framed(self):
+        """Return whether the answer's head tells where its body ends."""
+        return self._is_framed
+
     @property
     def unread_bytes(self):
         """Return the number of received body bytes that were not read yet."""
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -227,6 +227,11 @@
             return self._fail_unknown(
                 send, "silent", "no further event before the timeout"
             )
+        if not send.upstream.is_framed and (events.partial or not events.event_count):
+            send.has_lost_connection = True
+            return self._fail_unknown(
+                send, "broken", "connection ended before the end of an event"
+            )
         send.is_complete = True
         self._write_stream(send, events.partial)
         send.caller.end()
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -60,6 +60,9 @@
     - `hangs`: never answer
     - `mute_orders`: execute a management command after 0.5 s and never answer it
     - `slow_events`: seconds between the events of a stream (not a count)
+    - `unframed`: answer streams without length and chunks; the end of the connection
+      ends them (not a count)
+    - `cuts`: with `unframed`, end the connection in the middle of the third event
     - `deadly_part`: part of a prompt under which the replica crashes before the first
       event (not a count)
     """
@@ -74,6 +77,8 @@
     hangs: int = 0
     mute_orders: int = 0
     slow_events: float = EVENT_INTERVAL_SECONDS
+    unframed: bool = False
+    cuts: int = 0
     deadly_part: str = ""
 
 
@@ -244,6 +249,8 @@
         headers = {k.decode(): v.decode() for k, v in request.headers}
         attempt_id = headers.get("x-attempt-id", "")
         path = request.path.decode()
+        if self.faults.unframed:
+            request.accepts_chunked = False
         received = ReceivedRequest(
             attempt_id, path, headers, request.body, request.arrived
         )
@@ -297,6 +304,7 @@
     async def _stream(self, connection, headers, request_headers):
         first = int(request_headers.get("last-event-id") or 0) + 1
         is_truncated = self._consume_fault("truncates")
+        is_cut = self._consume_fault("cuts")
         if self.faults.deadly_part:
             await asyncio.sleep(PREFILL_SECONDS)
             if self.faults.deadly_part in request_headers.get("x-prompt-prefix", ""):
@@ -310,6 +318,9 @@
                 await asyncio.sleep(EVENT_INTERVAL_SECONDS)
                 connection.abort()
                 return
+            if is_cut and number == first + 2:
+                connection.write(event[:7])
+                return
             connection.write(event)
             await asyncio.sleep(self.faults.slow_events)
         connection.end()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from rosemarypath.errors import ResponseError
 from rosemarypath.hashing import rendezvous_order
 from rosemarypath.httpclient import Connection, encode_request
 from standins.replica import MODEL
@@ -184,6 +185,41 @@
     play(scenario)
 
 
+def test_a_stream_without_length_that_ends_between_events_is_complete():
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.faults.unframed = True
+        for path in (b"/ask/x", b"/once/x"):
+            reply = await fleet.call(path, method=b"POST", model=True)
+            assert (reply.status, reply.body) == (200, WHOLE)
+
+    play(scenario)
+
+
+def test_a_stream_without_length_that_ends_inside_an_event_is_resumed():
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.faults.unframed = True
+            engine.faults.cuts = 1
+        reply = await fleet.call(b"/ask/x", id="h1", method=b"POST", model=True)
+        assert (reply.status, reply.body) == (200, WHOLE)
+        assert ran(fleet.engines, "h1") in (2, 3)
+
+    play(scenario)
+
+
+def test_a_stream_without_length_that_ends_inside_an_event_is_not_complete():
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.faults.unframed = True
+            engine.faults.cuts = 1
+        with pytest.raises(ResponseError):
+            await fleet.call(b"/once/x", id="h2", method=b"POST", model=True)
+        assert ran(fleet.engines, "h2") == 1
+
+    play(scenario)
+
+
 def test_a_disconnected_caller_cancels_its_request():
     async def scenario(fleet):
         for replica in fleet.ledgers:
