--- a/rosemarypath/explaining.py
+++ b/rosemarypath/explaining.py
@@ -19,6 +19,7 @@
     "stopping": "the daemon was stopping and no longer accepted requests",
     "no_back_end": "no back end of the service was in service",
     "cannot_load": "no engine could load the adapter: see the loads above",
+    "blocked_prompt": "engines crashed under a part of its prompt, see prompt_part",
     "no_place_in_time": "on every engine too many adapters were waiting for a place",
     "all_tried_or_cold": "every back end that may run it was tried or is cold",
     "unreachable": "no connection to the back end could be opened",
@@ -191,6 +192,8 @@
         return f"it waited {waited} for {last['back_end']} to load the adapter"
     if last.get("stage") == "holder":
         return f"it waited {waited} for an engine that could load its adapter"
+    if last.get("stage") == "quarantine":
+        return f"it waited {waited} as engines had crashed under a part of its prompt"
     if last.get("stage") == "send" and last.get("events"):
         count = last["events"]
         return f"{last['back_end']} had sent {count} events {waited} after the request"
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -174,6 +174,7 @@
         ({"stage": "holder", "back_end": ""}, "engine that could load its adapter"),
         ({"stage": "send", "back_end": "i-1", "events": 0}, "i-1 had sent nothing"),
         ({"stage": "send", "back_end": "i-1", "events": 9}, "i-1 had sent 9 events"),
+        ({"stage": "quarantine", "back_end": ""}, "crashed under a part of its prompt"),
         ({}, "no answer had been received"),
     ],
 )
