Share the requests to cold back ends among few machines of a large fleet

Where there is less than one for each machine, the first machines in the rendezvous order of the back end may send one a second each, the others none (scheduling.coldrights, no network). The order depends on the registered machines only: exact while holders are dead or cut off, whose part is then unused, and different for each back end, so that nearly all machines may use some when all are cold.

--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -11,6 +11,7 @@
 from rosemarypath.enginecontroller import LoadOutcome
 from rosemarypath.peermessages import LoadAsk
 from rosemarypath.scheduling.choice import is_within_cold_rate
+from rosemarypath.scheduling.coldrights import ColdRights
 from rosemarypath.scheduling.quarantine import Quarantine
 from rosemarypath.tokenbuckets import BudgetBuckets, RetryBuckets
 
@@ -60,6 +61,7 @@
         self.back_ends = BackEnds()
         self.budgets = BudgetBuckets()
         self.quarantine = Quarantine()
+        self._cold_rights = ColdRights(peers.own.name)
         self.leases = leases
         self.controllers = {}
         self.apply_settings(settings)
@@ -121,10 +123,9 @@
 
     def accepts_request(self, state, now):
         """Return whether a previously chosen back end may still get a request."""
-        service = state.back_end.serves
-        if state not in self.usable_states(service, now):
+        if state not in self.usable_states(state.back_end.serves, now):
             return False
-        return is_within_cold_rate(state, self.cold_rate_limit(service, now), now)
+        return is_within_cold_rate(state, self.cold_rate_limit(state), now)
 
     def engine_plan(self, service):
         """Return the `EnginePlan` of a service, or ``None``."""
@@ -133,12 +134,17 @@
         plan = self.table.services.get(service)
         return plan.engine if plan is not None else None
 
-    def cold_rate_limit(self, service, now):
+    def cold_rate_limit(self, state):
         """Return the requests per second to send from here to a cold back end."""
-        plan = self.table.services.get(service)
+        plan = self.table.services.get(state.back_end.serves)
         if plan is None or plan.cold_rate <= 0.0:
             return float("inf")
-        return max(1.0, plan.cold_rate * self._cold_factor / self._machine_count())
+        total = plan.cold_rate * self._cold_factor
+        return self._cold_rights.limit(state.name, total, self._peers.registered)
+
+    def cold_rate_limits(self, states, now):
+        """Return `cold_rate_limit` by name, for the cold ones of the back ends."""
+        return {s.name: self.cold_rate_limit(s) for s in states if s.is_cold(now)}
 
     def load_blocked_engines(self, states, now):
         """Return the names of the engines whose lease holder cannot load an adapter."""
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -170,7 +170,7 @@
             load_blocked=self._fleet.load_blocked_engines(states, at)
             | context.load_blocked,
             load_failures=self._fleet.recent_load_failures(at),
-            cold_rate_limit=self._fleet.cold_rate_limit(context.service, at),
+            cold_rate_limits=self._fleet.cold_rate_limits(states, at),
             load_patience=context.load_patience,
         )
         return choose_back_end(states, demand, facts, at)
--- a/rosemarypath/scheduling/choice.py
+++ b/rosemarypath/scheduling/choice.py
@@ -13,13 +13,14 @@
 """
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from rosemarypath.hashing import rendezvous_score
 from rosemarypath.scheduling.patience import spread_retry
 
 __all__ = ["Choice", "Refusal", "choose_back_end", "is_within_cold_rate"]
 
+DEFAULT_COLD_RATE = 1.0  # requests per second to a cold back end without a known limit
 MIN_PLACE_SECONDS = 0.1  # at best, until one of several places becomes free
 # Costs are in seconds until the first byte.
 PREFILL_TOKENS_PER_SECOND = 25_000.0  # prompt tokens that one engine reads
@@ -105,7 +106,8 @@
 def _accepts_request(state, facts, now):
     if state.name in facts.excluded:
         return False
-    return is_within_cold_rate(state, facts.cold_rate_limit, now)
+    limit = facts.cold_rate_limits.get(state.name, DEFAULT_COLD_RATE)
+    return is_within_cold_rate(state, limit, now)
 
 
 def _split_by_loaded(states, demand, facts, now):
@@ -153,8 +155,8 @@
         Names of engines where a load failed recently.
     `load_patience`
         Seconds for which the request may still wait for its adapter.
-    `cold_rate_limit`
-        Requests per second that this daemon may send to a cold back end.
+    `cold_rate_limits`
+        Requests per second that this daemon may send to each cold back end, by name.
     """
 
     zone: str
@@ -164,7 +166,7 @@
     excluded: frozenset = frozenset()
     load_blocked: frozenset = frozenset()
     load_failures: frozenset = frozenset()
-    cold_rate_limit: float = 1.0
+    cold_rate_limits: dict = field(default_factory=dict)
     load_patience: float = float("inf")
 
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -92,7 +92,7 @@
         0.0,
     )
     cold.set_loaded_models(entry.models)
-    facts = ChoiceFacts(zone="z1", cold_rate_limit=2)
+    facts = ChoiceFacts(zone="z1", cold_rate_limits={"a": 2})
     sent = 0
     while isinstance(choose_back_end([cold], demand(), facts, 1.0), Choice):
         cold.begin_request(demand(), 1.0)
