--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -34,8 +34,8 @@
 
 LINK_TIMEOUT_SECONDS = 0.8  # a link without an answer for this long is reconnected
 HOUSEKEEPING_SECONDS = 1.0  # between two clean-ups of silent machines and connections
-# Silent watches are found so much later, which leaves half of the time in which a change
-# has to be in force.
+# Silent watches are found so much later, which leaves half of the time in which a
+# change has to be in force.
 CONFIGURATION_POLL_SECONDS = 1.0
 POLL_SECONDS = 2.5
 DIRECTORY_TTL_SECONDS = 1  # how long callers may cache an answer of the directory
