Ask the store anew only on machines that watch it, and poll only after the start

Causes: each daemon that lost one call asked on all kinds, also those whose copies come from peers; and each daemon took itself for the first watching machine until it heard of the others.

--- a/rosemarypath/peers.py
+++ b/rosemarypath/peers.py
@@ -122,6 +122,10 @@
         """Return the peers of the own group."""
         return [peer for peer in self.by_name.values() if peer.is_direct]
 
+    def is_starting(self, now):
+        """Return whether heartbeats of other daemons may be yet to arrive."""
+        return now - self.started_at < STARTUP_GRACE_SECONDS
+
     def set_machines(self, machines, now, lease_now):
         """Replace the registered `Machine` records; return those new or changed."""
         registered_by_name = {m.name: m for m in machines if m.name != self.own.name}
@@ -245,7 +249,7 @@
         peer = self.by_name.get(name)
         if peer is None:
             return False
-        if now - self.started_at < STARTUP_GRACE_SECONDS:
+        if self.is_starting(now):
             return True
         return peer.heard_within(PEER_TIMEOUT_SECONDS, now)
 
@@ -296,7 +300,7 @@
         Just after this daemon's start all count as alive, when their heartbeats may be
         yet to arrive.
         """
-        if now - self.started_at < STARTUP_GRACE_SECONDS:
+        if self.is_starting(now):
             return 1.0
         total = len(self.by_name) + 1
         return len(self.alive_names(now)) / total
--- a/rosemarypath/storecache.py
+++ b/rosemarypath/storecache.py
@@ -193,10 +193,19 @@
             self.availability.answer_age(now)
             > self.availability.outage_threshold - PROBE_MARGIN_SECONDS
         )
+        begins = is_on and not self._role.is_on
         self._role.set(is_on)
-        self._set_polling(own in watchers[:1])
+        if begins:
+            self._check_all_soon()
+        # Just after its start, a daemon that has heard of no other is first of its own.
+        self._set_polling(own in watchers[:1] and not self._peers.is_starting(now))
         self._probe_role.set(is_on or is_outage_possible or not self.health.is_up)
 
+    def _check_all_soon(self):
+        """Ask the store on all kinds: their watches may be silent."""
+        for watcher in self._watchers_by_kind.values():
+            watcher.check_soon()
+
     def _set_polling(self, is_polling):
         """Set whether this daemon watches the polled kinds for a short time."""
         begins = is_polling and not self._is_polling
@@ -316,11 +325,10 @@
 
     def _on_health(self, is_up, reason):
         if not is_up:
-            # Perhaps only one connection broke; a probe finds out immediately. Those
-            # of the other watches may be broken as well.
+            # Perhaps only one connection broke; a probe finds out immediately.
             self._probe_role.set(True)
-            for watcher in self._watchers_by_kind.values():
-                watcher.check_soon()
+            if self._role.is_on:
+                self._check_all_soon()
         self._log.write("store", "regained" if is_up else "lost", why=reason)
 
 
