Rank the machines that may watch the store in one sort key

Read as a newcomer: the order was built from a dictionary of ranks, and two attributes were both called watchers. The order is the same: rendezvous_order sorts by the same score, highest first.

--- a/rosemarypath/peers.py
+++ b/rosemarypath/peers.py
@@ -312,22 +312,15 @@
         They are selected alternately from the zones, among the machines that are alive
         and reach the store, those with the fastest links first: each change of a large
         configuration is sent to a share of the whole fleet. For each machine that
-        doesn't reach the store one more is
-        selected, up to twice the count, to find out whether the store is unavailable
-        to all.
+        doesn't reach the store one more is selected, up to twice the count, to find out
+        whether the store is unavailable to all.
         """
         candidates = [self.own] if is_own_store_reachable else []
         alive = self._alive_peers(WATCHER_TIMEOUT_SECONDS, now)
         candidates += [peer.machine for peer in alive if peer.is_store_reachable]
         unreachable_count = len(alive) + 1 - len(candidates)
         count = WATCHER_COUNT + min(unreachable_count, WATCHER_COUNT)
-        ranked = {
-            name: rank
-            for rank, name in enumerate(
-                rendezvous_order(WATCHER_RANK_KEY, [m.name for m in candidates])
-            )
-        }
-        candidates.sort(key=lambda m: (-m.bandwidth, ranked[m.name]))
+        candidates.sort(key=_watching_rank, reverse=True)
         ordered = interleave_zones(candidates, lambda m: m.zone)
         return [machine.name for machine in ordered[:count]]
 
@@ -360,3 +353,8 @@
             for peer in self.by_name.values()
             if not peer.is_leaving and peer.heard_within(seconds, now)
         ]
+
+
+def _watching_rank(machine):
+    """Return how well `machine` can watch the store for others, as a sort key."""
+    return machine.bandwidth, rendezvous_score(WATCHER_RANK_KEY, machine.name)
--- a/rosemarypath/storecache.py
+++ b/rosemarypath/storecache.py
@@ -98,7 +98,7 @@
         self._role = WatchRole()
         self._probe_role = WatchRole()
         self._watchers = []
-        self._watchers_by_kind = {}
+        self._kind_watchers = {}
         self._newer_revisions = {}
         self._mirrors = {}
         self.health = StoreHealth(self._on_health)
@@ -158,7 +158,7 @@
                 self._relay_events,
                 watch_seconds=self._watch_seconds,
             )
-            self._watchers_by_kind[mirror.kind] = watcher
+            self._kind_watchers[mirror.kind] = watcher
             spawn(watcher.run())
 
     @property
@@ -203,14 +203,14 @@
 
     def _check_all_soon(self):
         """Ask the store on all kinds: their watches may be silent."""
-        for watcher in self._watchers_by_kind.values():
+        for watcher in self._kind_watchers.values():
             watcher.check_soon()
 
     def _set_polling(self, is_polling):
         """Set whether this daemon watches the polled kinds for a short time."""
         begins = is_polling and not self._is_polling
         self._is_polling = is_polling
-        for kind, watcher in self._watchers_by_kind.items():
+        for kind, watcher in self._kind_watchers.items():
             if begins and kind in self._poll_seconds:
                 watcher.check_soon()
 
