--- a/tests/test_storecache.py
+++ b/tests/test_storecache.py
@@ -104,36 +104,42 @@
     return {n: StoredObject("main", n, f"version {n}") for n in (1, 6, 9)}
 
 
-def test_a_relayed_watch_does_not_count_for_changes_that_it_does_not_contain(objects):
+def watch_once(daemon, store, answer):
+    """Let a daemon watch the store until it has relayed what ``answer()`` returns."""
+
     async def play():
-        store = Store([objects[1]], 1)
-        watching, served = Daemon("m0", store), Daemon("m1", store)
-        served.cache.start(lambda coroutine: coroutine.close())
-        served.copy.replace([objects[1]], 1)
-
-        def answer_after_a_snapshot():
-            # A peer's snapshot overtakes the store's answer to the watch.
-            watching.copy.replace([objects[9]], 9)
-            return [(objects[6], False)], 6
-
-        store.answer = answer_after_a_snapshot
-        watching.cache.health.note_answer(5.0)
-        watching.cache.choose_watchers(5.0)
+        store.answer = answer
+        daemon.cache.health.note_answer(5.0)
+        daemon.cache.choose_watchers(5.0)
         tasks = []
-        watching.cache.start(lambda c: tasks.append(asyncio.create_task(c)))
+        daemon.cache.start(lambda c: tasks.append(asyncio.create_task(c)))
         await asyncio.sleep(0.1)
         for task in tasks:
             task.cancel()
-        for message in watching.sent(MirrorEvents):
-            served.receive(message)
-        served.cache.compare_revisions("m0/1", watching.cache.revisions, 10.0)
-        served.cache.compare_revisions("m0/1", watching.cache.revisions, 10.2)
-        assert served.copy.objects["main"].spec == "version 6"
-        assert served.sent(MirrorAsk) == [MirrorAsk(KIND, 6)]
 
     asyncio.run(play())
 
 
+def test_a_relayed_watch_does_not_count_for_changes_that_it_does_not_contain(objects):
+    store = Store([objects[1]], 1)
+    watching, served = Daemon("m0", store), Daemon("m1", store)
+    served.cache.start(lambda coroutine: coroutine.close())
+    served.copy.replace([objects[1]], 1)
+
+    def answer_after_a_snapshot():
+        # A peer's snapshot overtakes the store's answer to the watch.
+        watching.copy.replace([objects[9]], 9)
+        return [(objects[6], False)], 6
+
+    watch_once(watching, store, answer_after_a_snapshot)
+    for message in watching.sent(MirrorEvents):
+        served.receive(message)
+    served.cache.compare_revisions("m0/1", watching.cache.revisions, 10.0)
+    served.cache.compare_revisions("m0/1", watching.cache.revisions, 10.2)
+    assert served.copy.objects["main"].spec == "version 6"
+    assert served.sent(MirrorAsk) == [MirrorAsk(KIND, 6)]
+
+
 def test_a_relay_that_arrives_late_does_not_bring_an_older_object_back(objects):
     served = Daemon("m1", None)
     served.cache.start(lambda coroutine: coroutine.close())
@@ -157,18 +163,7 @@
 
 def watch_one_change(daemon, store, stored):
     """Let a daemon watch the store until it has relayed one change."""
-
-    async def play():
-        store.answer = lambda: ([(stored, False)], stored.version)
-        daemon.cache.health.note_answer(5.0)
-        daemon.cache.choose_watchers(5.0)
-        tasks = []
-        daemon.cache.start(lambda c: tasks.append(asyncio.create_task(c)))
-        await asyncio.sleep(0.1)
-        for task in tasks:
-            task.cancel()
-
-    asyncio.run(play())
+    watch_once(daemon, store, lambda: ([(stored, False)], stored.version))
 
 
 def test_relays_of_a_large_configuration_fit_into_a_small_link(objects):
