Log the limits, pauses and departures that back ends tell in their answers

The headers Server-Limit, Server-Leaving and the Retry-After of a 503 are now decoded once, in platform/feedback.py, kept by RateLimits and logged as 'limits'. Nothing obeys them yet.

--- a/rosemarypath/backendstate.py
+++ b/rosemarypath/backendstate.py
@@ -77,6 +77,11 @@
         """Return the back end's name."""
         return self.entry.back_end.name
 
+    @property
+    def incarnation(self):
+        """Return an identifier of the back end that changes when it restarts."""
+        return f"{self.name}/{self.entry.started_at_ms}"
+
     def is_cold(self, now):
         """Return whether it has just started, so that sends to it are limited."""
         return now < self.cold_until
--- a/rosemarypath/demand.py
+++ b/rosemarypath/demand.py
@@ -5,11 +5,12 @@
 Decoded requests and answer heads, independent of the platform's header names.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from math import inf
 
 from rosemarypath.errors import RosemarypathError
 
-__all__ = ["AnswerHead", "BadRequestError", "Demand"]
+__all__ = ["AnswerHead", "BadRequestError", "Demand", "Feedback"]
 
 
 class BadRequestError(RosemarypathError):
@@ -60,6 +61,27 @@
         return self.prompt_tokens + self.output_tokens
 
 
+@dataclass(frozen=True)
+class Feedback:
+    """
+    What a back end asks of its callers.
+
+    Options:
+
+    `rate_limit`
+        Requests per second that it takes from all daemons together; infinite without a
+        limit, ``None`` if the limit could not be read.
+    `pause_seconds`
+        Seconds for which it wants no requests from this daemon.
+    `is_leaving`
+        Whether it is about to end.
+    """
+
+    rate_limit: float | None = inf
+    pause_seconds: float = 0.0
+    is_leaving: bool = False
+
+
 @dataclass(frozen=True)
 class AnswerHead:
     """
@@ -75,6 +97,8 @@
         Whether the back end reports that it did not run the request.
     `is_other_back_end`
         Whether another back end has the address now.
+    `feedback`
+        The `Feedback` of the back end, ``None`` if another one answered.
     """
 
     status: int
@@ -83,6 +107,7 @@
     is_signed: bool = False
     has_not_run: bool = False
     is_other_back_end: bool = False
+    feedback: Feedback | None = field(default_factory=Feedback)
 
     @property
     def is_success(self):
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -5,6 +5,8 @@
 One daemon's view of the fleet, on which it decides about requests.
 """
 
+from math import inf
+
 from rosemarypath import clock
 from rosemarypath.backend import ENGINE, LoadedModel
 from rosemarypath.backendstate import BackEnds
@@ -13,6 +15,7 @@
 from rosemarypath.scheduling.choice import is_within_cold_rate
 from rosemarypath.scheduling.coldrights import ColdRights
 from rosemarypath.scheduling.quarantine import Quarantine
+from rosemarypath.scheduling.ratelimits import RateLimits
 from rosemarypath.tokenbuckets import BudgetBuckets, RetryBuckets
 
 __all__ = ["FleetView"]
@@ -61,6 +64,7 @@
         self.back_ends = BackEnds()
         self.budgets = BudgetBuckets()
         self.quarantine = Quarantine()
+        self.rate_limits = RateLimits()
         self._cold_rights = ColdRights(peers.own.name)
         self.leases = leases
         self.controllers = {}
@@ -127,6 +131,24 @@
             return False
         return is_within_cold_rate(state, self.cold_rate_limit(state), now)
 
+    def record_feedback(self, state, feedback, sent_at, now):
+        """Record what a back end asks in an answer to a request sent at `sent_at`."""
+        name = state.incarnation
+        if self.rate_limits.record_answer(name, feedback.rate_limit, sent_at, now):
+            self._log_limit(name)
+        if feedback.pause_seconds > 0.0:
+            self._log_request_of(state, "paused", seconds=feedback.pause_seconds)
+        if feedback.is_leaving:
+            self._log_request_of(state, "leaving")
+
+    def _log_limit(self, back_end):
+        rate = self.rate_limits.rate(back_end)
+        event = "ended" if rate == inf else "limited"
+        self._log.write("limits", event, back_end=back_end, rate=rate)
+
+    def _log_request_of(self, state, event, **fields):
+        self._log.write("limits", event, back_end=state.incarnation, **fields)
+
     def engine_plan(self, service):
         """Return the `EnginePlan` of a service, or ``None``."""
         if self.table is None:
--- a/rosemarypath/platform/requests.py
+++ b/rosemarypath/platform/requests.py
@@ -6,6 +6,7 @@
 """
 
 from rosemarypath.demand import AnswerHead, BadRequestError, Demand
+from rosemarypath.platform.feedback import decode_feedback
 
 __all__ = [
     "decode_answer_head",
@@ -138,6 +139,7 @@
         has_not_run=has_not_run,
         is_other_back_end=reply.status == MISDIRECTED
         and values.get(INSTANCE_ID, b"").decode("latin-1") not in ("", back_end.name),
+        feedback=decode_feedback(reply, back_end),
     )
 
 
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -104,8 +104,7 @@
             address, now(), CRASH_CHECK_SECONDS
         ):
             return
-        crash = f"{send.state.name}/{send.state.entry.started_at_ms}"
-        self._fleet.quarantine.record_crash(crash, parts, now())
+        self._fleet.quarantine.record_crash(send.state.incarnation, parts, now())
         self._log.write(
             "quarantine",
             "crash",
@@ -130,6 +129,10 @@
         except TimeoutError:
             return self._fail_unknown(send, "silent", "no answer before the timeout")
         send.head = self._answer_head(send, reply)
+        if send.head.feedback is not None:
+            self._fleet.record_feedback(
+                send.state, send.head.feedback, send.started, now()
+            )
         if send.head.has_not_run:
             return self._fail_rejected(send)
         if context.route.kind == STREAM and send.head.is_success:
