--- a/standins/replica.py
+++ b/standins/replica.py
@@ -65,6 +65,10 @@
     - `cuts`: with `unframed`, end the connection in the middle of the third event
     - `deadly_part`: part of a prompt under which the replica crashes before the first
       event (not a count)
+    - `rate_limit`: requests per second that each answer names as the limit; empty for
+      none (not a count)
+    - `is_leaving`: each answer tells that the replica leaves (not a count)
+    - `pause_seconds`: `sheds` answers ask for no requests for so long (not a count)
     """
 
     sheds: int = 0
@@ -80,6 +84,19 @@
     unframed: bool = False
     cuts: int = 0
     deadly_part: str = ""
+    rate_limit: str = ""
+    is_leaving: bool = False
+    pause_seconds: str = ""
+
+    @property
+    def headers(self):
+        """Return the headers that each answer carries."""
+        pairs = []
+        if self.rate_limit:
+            pairs.append((b"Server-Limit", self.rate_limit.encode()))
+        if self.is_leaving:
+            pairs.append((b"Server-Leaving", b"1"))
+        return pairs
 
 
 @dataclass
@@ -185,7 +202,8 @@
     async def _handle(self, request, connection):
         path = request.path.decode()
         if path == "/api/report":
-            connection.answer(200, [], msgspec.json.encode(self._report()))
+            body = msgspec.json.encode(self._report())
+            connection.answer(200, self.faults.headers, body)
         elif path == "/api/order":
             await self._handle_command(request, connection)
         else:
@@ -208,7 +226,7 @@
             await asyncio.sleep(3600)
         status = self._execute_command(command)
         engine.history.append((command["operation"], command.get("adapter"), status))
-        connection.answer(status, [])
+        connection.answer(status, self.faults.headers)
 
     def _execute_command(self, command):
         engine = self.engine
@@ -255,12 +273,14 @@
             attempt_id, path, headers, request.body, request.arrived
         )
         self.requests.append(received)
-        base = [(b"X-Attempt-Id", attempt_id.encode())]
+        base = [(b"X-Attempt-Id", attempt_id.encode()), *self.faults.headers]
         if headers.get("x-expect-instance") != self.name:
             base.append((b"X-Instance-Id", self.name.encode()))
             connection.answer(421, base)
             return
         if self._consume_fault("sheds"):
+            if self.faults.pause_seconds:
+                base.append((b"Retry-After", self.faults.pause_seconds.encode()))
             connection.answer(503, [*base, (b"X-Not-Executed", b"1")])
             return
         model, _, adapter = headers.get("x-model", "").partition("/")
