Obey the limit that a back end in need names, over all machines together

Cause: what a back end asks of its callers was read by nobody. Class: a fact that any answer may tell, about all machines, was no part of the choice nor of the send.

Every answer of a back end is read for it, also those to orders and reports, and heads of streams. The limit travels with heartbeats and digests, newest first by the time at which it was named; only an answer to a request sent after that ends it. The first of the live machines in the rendezvous order of the back end grants each send, from a bucket of the rate; requests that got there in the last 4 s before the limit was known count. A send holds its grant after all waits; a denied one tries other back ends, and with none the caller gets a 503 at once with the time until room comes.

Weighed: a share for each machine (with 8 machines and 1.6 a second one request in 5 s each, and that of idle ones is lost; with 195 none), and a bucket each that counts the grants of all, as for budgets (all spend the same token until they hear of each other: 195 at once). Machines without contact each grant their part.

--- a/rosemarypath/backendstate.py
+++ b/rosemarypath/backendstate.py
@@ -43,7 +43,8 @@
 
     `entry` is the `BackEndEntry` of the platform's list, `seen_at` the time at which it
     was read. `is_missing` is set while the entry is gone from the list, but may only
-    have lapsed in an outage of the store.
+    have lapsed in an outage of the store. Until `closed_until` it gets no requests from
+    this daemon, as it has no room for them.
     """
 
     def __init__(self, entry, now):
@@ -62,6 +63,7 @@
         self.cold_until = now + entry.cold_seconds
         self.last_used = {}
         self.latency = 0.0
+        self.closed_until = float("-inf")
         self.controller_reported_at = float("-inf")
         self.recent_adapters = {}
         self._open_places = 0
@@ -242,6 +244,7 @@
             self.adapters = {}
             self.model_versions = {}
             self.recent_adapters = {}
+            self.closed_until = float("-inf")
         self.entry = entry
         self.seen_at = now
         self.is_missing = False
--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -116,7 +116,9 @@
             self._store_cache, dialect, self._fleet, self._log, self._set_limits
         )
         self._controller_manager = ControllerManager(
-            dialect.engine_client(self._pool, settings.machine),
+            dialect.engine_client(
+                self._pool, settings.machine, self._record_engine_feedback
+            ),
             self._fleet,
             self._peers,
             self._mesh,
@@ -181,6 +183,7 @@
             await listener.start()
         await self._mesh.start()
         self._heartbeats.start()
+        self._fleet.grants.start()
         self._store_cache.start(self._spawn)
         self._spawn(self._registration.run())
         self._spawn(self._run_heartbeats())
@@ -260,6 +263,12 @@
         handlers.pop(settings.callers_address, None)
         return [Listener(a, h, IngressLimits()) for a, h in handlers.items()]
 
+    def _record_engine_feedback(self, back_end, feedback, sent_at):
+        """Record the `Feedback` in the answer to an order or to a report's request."""
+        state = self._fleet.back_ends.states.get(back_end.name)
+        if state is not None:
+            self._fleet.record_feedback(state, feedback, sent_at, now())
+
     def _set_limits(self, limits):
         self._caller_listener.limits = limits
 
--- a/rosemarypath/explaining.py
+++ b/rosemarypath/explaining.py
@@ -22,6 +22,8 @@
     "blocked_prompt": "engines crashed under a part of its prompt, see prompt_part",
     "no_place_in_time": "on every engine too many adapters were waiting for a place",
     "all_tried_or_cold": "every back end that may run it was tried or is cold",
+    "no_room": "every back end had asked for fewer requests: see the limits below",
+    "limited": "the limit of a back end in need was used up",
     "unreachable": "no connection to the back end could be opened",
     "withdrawn": "the back end stopped accepting requests during the connect",
     "rejected": "the back end reported that it did not run the request",
@@ -30,7 +32,17 @@
     "failed": "the back end itself answered with an error",
     "deadline": "the deadline passed",
 }
-CONTEXT_EVENTS = {"adopted", "contract", "lost", "regained", "leaving", "removed"}
+CONTEXT_EVENTS = {
+    "adopted",
+    "contract",
+    "lost",
+    "regained",
+    "leaving",
+    "removed",
+    "limited",
+    "ended",
+    "paused",
+}
 CONTEXT_SECONDS = 3.0  # before the end of a request, in which context is shown
 
 
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -16,6 +16,7 @@
 from rosemarypath.scheduling.coldrights import ColdRights
 from rosemarypath.scheduling.quarantine import Quarantine
 from rosemarypath.scheduling.ratelimits import RateLimits
+from rosemarypath.sendgrants import SendGrants
 from rosemarypath.tokenbuckets import BudgetBuckets, RetryBuckets
 
 __all__ = ["FleetView"]
@@ -65,6 +66,7 @@
         self.budgets = BudgetBuckets()
         self.quarantine = Quarantine()
         self.rate_limits = RateLimits()
+        self.grants = SendGrants(peers, mesh, self.rate_limits)
         self._cold_rights = ColdRights(peers.own.name)
         self.leases = leases
         self.controllers = {}
@@ -125,9 +127,18 @@
             service, not self._availability.is_stable(now)
         )
 
-    def accepts_request(self, state, now):
-        """Return whether a previously chosen back end may still get a request."""
-        if state not in self.usable_states(state.back_end.serves, now):
+    def accepts_request(self, state, is_granted, now):
+        """
+        Return whether a previously chosen back end may still get a request.
+
+        `is_granted` tells whether the send was granted, as one to a back end with a
+        limit has to be.
+        """
+        if not is_granted and self.has_limit(state):
+            return False
+        if state.closed_until > now or state not in self.usable_states(
+            state.back_end.serves, now
+        ):
             return False
         return is_within_cold_rate(state, self.cold_rate_limit(state), now)
 
@@ -141,6 +152,10 @@
         if feedback.is_leaving:
             self._log_request_of(state, "leaving")
 
+    def _merge_limits(self, source, limits, now):
+        for back_end in self.rate_limits.merge(source, limits, now):
+            self._log_limit(back_end)
+
     def _log_limit(self, back_end):
         rate = self.rate_limits.rate(back_end)
         event = "ended" if rate == inf else "limited"
@@ -149,6 +164,10 @@
     def _log_request_of(self, state, event, **fields):
         self._log.write("limits", event, back_end=state.incarnation, **fields)
 
+    def has_limit(self, state):
+        """Return whether the back end limits the requests of all daemons."""
+        return self.rate_limits.rate(state.incarnation) != inf
+
     def engine_plan(self, service):
         """Return the `EnginePlan` of a service, or ``None``."""
         if self.table is None:
@@ -279,6 +298,7 @@
         """Record loads, granted tokens and loaded adapters from a heartbeat."""
         name = identity.partition("/")[0]
         self.quarantine.merge(state.crashes, state.begun, now)
+        self._merge_limits(identity, state.limits, now)
         self.budgets.record_peer(identity, state.spent, now)
         back_ends = state.loads.keys() | state.rates.keys() | state.awaited.keys()
         self._remove_stale_loads(name, back_ends)
@@ -298,6 +318,7 @@
         """
         name = source.partition("/")[0]
         self.quarantine.merge(digest.crashes, digest.begun, now)
+        self._merge_limits(source, digest.limits, now)
         self.budgets.record_peer(source, digest.spent, now)
         self._remove_stale_loads(name, digest.loads.keys() | digest.awaited.keys())
         for back_end in self._reported_back_ends[name]:
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -10,11 +10,11 @@
 from rosemarypath.clock import now
 from rosemarypath.outcome import NotRun, Unknown
 from rosemarypath.scheduling.choice import ChoiceFacts, Refusal, choose_back_end
-from rosemarypath.sending import WITHDRAWN, Sender
+from rosemarypath.sending import LIMITED, WITHDRAWN, Sender
 
 __all__ = ["Forwarder"]
 
-NOT_SENT = frozenset({"unreachable", WITHDRAWN})  # no back end got the request
+NOT_SENT = frozenset({"unreachable", LIMITED, WITHDRAWN})  # no back end got the request
 MAX_SENDS = 6  # per request, including those that a back end rejected
 RESEND_PAUSE_SECONDS = 0.02  # before another send, after a rejected one
 MAX_LOAD_WAIT_SECONDS = 1.5  # several loads from a busy store; then another engine
@@ -172,6 +172,7 @@
             load_failures=self._fleet.recent_load_failures(at),
             cold_rate_limits=self._fleet.cold_rate_limits(states, at),
             load_patience=context.load_patience,
+            limited=frozenset(s.name for s in states if self._fleet.has_limit(s)),
         )
         return choose_back_end(states, demand, facts, at)
 
--- a/rosemarypath/groups.py
+++ b/rosemarypath/groups.py
@@ -14,6 +14,8 @@
 from dataclasses import dataclass, field
 from math import ceil, isqrt
 
+from rosemarypath.scheduling.ratelimits import newest_limit
+
 __all__ = [
     "SINGLE_GROUP_MAX_MACHINES",
     "GROUP_SIZE_FLOOR",
@@ -102,6 +104,8 @@
         Maps engines to what they have loaded, as in `PeerState`.
     `revisions`
         Maps kinds to the highest revision.
+    `limits`
+        The limits of back ends, as `RateLimits.report` returns them.
     `store_answer_age`
         Seconds since the store last answered one of the daemons.
     """
@@ -112,6 +116,7 @@
     open_places: dict = field(default_factory=dict)
     held: dict = field(default_factory=dict)
     revisions: dict = field(default_factory=dict)
+    limits: dict = field(default_factory=dict)
     store_answer_age: float = float("inf")
 
     def add_state(self, state, age=0.0):
@@ -145,6 +150,15 @@
         self.open_places.update(source.open_places)
         for kind, revision in source.revisions.items():
             self.revisions[kind] = max(revision, self.revisions.get(kind, 0))
+        for back_end, (rate, since, sends) in source.limits.items():
+            self._add_limit(back_end, (rate, since + age), sends)
+
+    def _add_limit(self, back_end, limit, sends):
+        if back_end in self.limits:
+            *known, known_sends = self.limits[back_end]
+            limit = newest_limit(limit, tuple(known))
+            sends += known_sends
+        self.limits[back_end] = (*limit, sends)
 
 
 def _add_counts(totals, back_end, counts):
--- a/rosemarypath/heartbeats.py
+++ b/rosemarypath/heartbeats.py
@@ -96,6 +96,7 @@
             ),
             crashes=crashes,
             begun=begun,
+            limits=self._fleet.rate_limits.report(now()),
         )
         reduced = self._omit_unchanged_held(state)
         for peer in self._peers.direct_peers:
@@ -198,6 +199,7 @@
             ),
             crashes=crashes,
             begun=begun,
+            limits=total.limits,
         )
         if not is_full:
             return digest
--- a/rosemarypath/peermessages.py
+++ b/rosemarypath/peermessages.py
@@ -22,6 +22,8 @@
     "MirrorEvents",
     "MirrorSnapshot",
     "PeerState",
+    "SendAsk",
+    "SendReply",
 ]
 
 
@@ -69,6 +71,8 @@
     `crashes`, `begun`
         Evidence about prompt parts that crash engines, as `Quarantine.report` returns
         it.
+    `limits`
+        The limits of back ends in need, as `RateLimits.report` returns them.
     """
 
     number: int
@@ -88,6 +92,7 @@
     open_places: dict[str, int] = {}
     crashes: dict[str, dict[str, float]] = {}
     begun: dict[str, float] = {}
+    limits: dict[str, tuple[float, float, int]] = {}
 
 
 class MemberState(msgspec.Struct, frozen=True, array_like=True):
@@ -139,6 +144,8 @@
         Maps back ends to running requests by adapter.
     `store_answer_age`
         Seconds since the store last answered one of the daemons.
+    `limits`
+        As in `PeerState`, with the numbers of recent sends of these daemons added up.
     """
 
     leader: str
@@ -157,6 +164,7 @@
     open_places: dict[str, int] = {}
     crashes: dict[str, dict[str, float]] = {}
     begun: dict[str, float] = {}
+    limits: dict[str, tuple[float, float, int]] = {}
 
 
 class LeasePing(Message):
@@ -230,6 +238,25 @@
     packed: bytes = b""
 
 
+class SendAsk(Message):
+    """
+    Asks for the grant of one send to a back end that has named a limit.
+
+    `back_end` is its incarnation, `rate` its limit and `age` how long ago the limit was
+    named, in seconds.
+    """
+
+    back_end: str
+    rate: float
+    age: float
+
+
+class SendReply(Message):
+    """The seconds until the next send could be granted; 0.0 if one is granted now."""
+
+    seconds: float
+
+
 class LoadAsk(Message):
     """
     Asks the lease holder of a back end to load an adapter within `seconds`.
--- a/rosemarypath/platform/engine.py
+++ b/rosemarypath/platform/engine.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from rosemarypath.errors import ConnectError, ResponseError
+from rosemarypath.platform.feedback import decode_feedback
 from rosemarypath.platform.servers import decode_models, split_version
 
 __all__ = ["EngineClient", "EngineReport", "OrderResult"]
@@ -84,11 +85,14 @@
     Client of the engines' management calls.
 
     `pool` is the `ConnectionPool` to use; each order names `machine` as its sender.
+    ``on_feedback(back_end, feedback, sent_at)`` is called with the `Feedback` in each
+    answer of an engine.
     """
 
-    def __init__(self, pool, machine):
+    def __init__(self, pool, machine, on_feedback=lambda *arguments: None):
         self._pool = pool
         self._machine = machine
+        self._on_feedback = on_feedback
 
     async def load(self, back_end, model, adapter, version, fence, expected):
         """
@@ -111,15 +115,8 @@
         headers = [(b"Host", back_end.address.encode())]
         headers.append((b"X-Expect-Instance", back_end.name.encode()))
         try:
-            reply = await self._pool.call(
-                back_end.address,
-                b"GET",
-                REPORT_PATH,
-                headers,
-                b"",
-                REPORT_TIMEOUT_SECONDS,
-                time.monotonic(),
-                MAX_REPORT_BYTES,
+            reply = await self._call(
+                back_end, b"GET", REPORT_PATH, headers, b"", REPORT_TIMEOUT_SECONDS
             )
         except (ConnectError, ResponseError):
             return None
@@ -138,20 +135,31 @@
         ]
         body = msgspec.json.encode(document)
         try:
-            reply = await self._pool.call(
-                back_end.address,
-                b"POST",
-                ORDER_PATH,
-                headers,
-                body,
-                ORDER_TIMEOUT_SECONDS,
-                time.monotonic(),
-                MAX_REPORT_BYTES,
+            reply = await self._call(
+                back_end, b"POST", ORDER_PATH, headers, body, ORDER_TIMEOUT_SECONDS
             )
         except (ConnectError, ResponseError):
             return OrderResult()
         return OrderResult(reply.status)
 
+    async def _call(self, back_end, method, path, headers, body, timeout):
+        """Return the `Reply`; raises `ConnectError` and `ResponseError`."""
+        sent_at = time.monotonic()
+        reply = await self._pool.call(
+            back_end.address,
+            method,
+            path,
+            headers,
+            body,
+            timeout,
+            sent_at,
+            MAX_REPORT_BYTES,
+        )
+        feedback = decode_feedback(reply, back_end)
+        if feedback is not None:
+            self._on_feedback(back_end, feedback, sent_at)
+        return reply
+
 
 def _order_document(operation, model, adapter, version=0):
     """Return the part of an order's body that names its operation and target."""
--- a/rosemarypath/requestcontext.py
+++ b/rosemarypath/requestcontext.py
@@ -41,8 +41,8 @@
     `waiting_at`
         State of the engine where it waits for its adapter, ``None`` if it does not.
     `stage`, `stage_at`, `stage_back_end`
-        What it waits for (``holder``, ``load`` or ``send``), since when, and at which
-        back end.
+        What it waits for (``holder``, ``load``, ``grant`` or ``send``), since when, and
+        at which back end.
     `load_seconds`
         Seconds that it waited for loads of its adapter.
     `first_event_at`, `last_event_at`, `longest_gap`
@@ -129,9 +129,11 @@
 
     `context` is the `RequestContext`, `state` the `BackEndState`, `started` the time at
     which it began and `connect_seconds` the time that connecting took. `caller` is the
-    connection to the caller, `upstream` that to the back end. `head` is the
-    `AnswerHead`; `has_first_event` and `is_complete` tell how much of the answer came,
-    `has_lost_connection` whether the connection ended before it was complete.
+    connection to the caller, `upstream` that to the back end. `granted_at` is the time
+    on the lease clock at which a send to a back end with a limit was granted, ``None``
+    without a limit. `head` is the `AnswerHead`; `has_first_event` and `is_complete`
+    tell how much of the answer came, `has_lost_connection` whether the connection ended
+    before it was complete.
     """
 
     context: object
@@ -141,6 +143,7 @@
     connect_seconds: float = 0.0
     upstream: object = None
     head: object = None
+    granted_at: float | None = None
     has_first_event: bool = False
     has_lost_connection: bool = False
     is_complete: bool = False
--- a/rosemarypath/scheduling/choice.py
+++ b/rosemarypath/scheduling/choice.py
@@ -36,6 +36,7 @@
 PLACE_SECONDS = 0.4  # until a place becomes free, per adapter that waits for one
 LOAD_FAILURE_SECONDS = 1.0  # waiting for an engine that just failed to load
 RANK_SECONDS = 0.03  # per rank, so that an adapter stays at its preferred engine
+LIMITED_SECONDS = 0.2  # a back end in need; a load elsewhere is dearer
 RUNNING_SECONDS = 0.002  # per running request
 QUEUE_SECONDS = 0.05  # per request beyond the back end's capacity
 FAILURE_SECONDS = 0.4  # per recent failure
@@ -72,7 +73,7 @@
         return Refusal("no_back_end", 0.5)
     available = [state for state in states if _accepts_request(state, facts, now)]
     if not available:
-        return Refusal("all_tried_or_cold", 0.3)
+        return _refusal(states, facts, now)
     loaded, others = _split_by_loaded(available, demand, facts, now)
     best, cost = _cheapest(loaded, lambda s: _cost_if_loaded(s, demand, facts, now))
     # Any other engine costs a load on top, so a cheap enough one needs no comparison.
@@ -88,6 +89,15 @@
     return Choice(best)
 
 
+def _refusal(states, facts, now):
+    """Return the refusal where no back end accepts the request now."""
+    untried = [state for state in states if state.name not in facts.excluded]
+    if untried and all(state.closed_until > now for state in untried):
+        soonest = min(state.closed_until for state in untried)
+        return Refusal("no_room", spread_retry(soonest - now))
+    return Refusal("all_tried_or_cold", 0.3)
+
+
 def _choose_load(state, best, demand, facts, now):
     """Return the choice of a load at `state`, unless no place is expected in time."""
     soonest = RELOAD_SECONDS + MIN_PLACE_SECONDS * _missing_places(state, demand, now)
@@ -104,7 +114,7 @@
 
 
 def _accepts_request(state, facts, now):
-    if state.name in facts.excluded:
+    if state.name in facts.excluded or state.closed_until > now:
         return False
     limit = facts.cold_rate_limits.get(state.name, DEFAULT_COLD_RATE)
     return is_within_cold_rate(state, limit, now)
@@ -157,6 +167,8 @@
         Seconds for which the request may still wait for its adapter.
     `cold_rate_limits`
         Requests per second that this daemon may send to each cold back end, by name.
+    `limited`
+        Names of back ends that limit the requests of all daemons together.
     """
 
     zone: str
@@ -168,6 +180,7 @@
     load_failures: frozenset = frozenset()
     cold_rate_limits: dict = field(default_factory=dict)
     load_patience: float = float("inf")
+    limited: frozenset = frozenset()
 
 
 def _has_loaded(state, demand, facts, now):
@@ -239,6 +252,7 @@
     cost = running * RUNNING_SECONDS
     cost += max(0, running - capacity) * QUEUE_SECONDS
     cost += state.failures(now) * FAILURE_SECONDS
+    cost += LIMITED_SECONDS * (state.name in facts.limited)
     if state.back_end.zone != facts.zone:
         cost += CROSS_ZONE_SECONDS
     if not demand.model:
--- a/rosemarypath/scheduling/ratelimits.py
+++ b/rosemarypath/scheduling/ratelimits.py
@@ -92,6 +92,11 @@
         """Return the limit in requests per second, infinite if there is none."""
         return self._limits.get(back_end, (inf, -inf))[0]
 
+    def limit(self, back_end, now):
+        """Return the limit, and the age of that knowledge in seconds."""
+        rate, at = self._limits.get(back_end, (inf, -inf))
+        return rate, now - at
+
     def record_answer(self, back_end, rate, sent_at, now):
         """
         Record an answer to a request that was sent at `sent_at`.
@@ -131,14 +136,22 @@
         """
         changed = []
         for back_end, (rate, age, sends) in report.items():
-            if self._set_limit(back_end, rate, now - max(0.0, age)):
+            if self.merge_limit(back_end, rate, age, now):
                 changed.append(back_end)
             self._peer_counts.setdefault(back_end, {})[source] = sends, now
         return changed
 
-    def take(self, back_end, now):
-        """Grant a send for any daemon; return 0.0, or the seconds to wait."""
-        rate = self.rate(back_end)
+    def merge_limit(self, back_end, rate, age, now):
+        """Add a limit that another daemon reported; return whether it is another."""
+        return self._set_limit(back_end, rate, now - max(0.0, age))
+
+    def take(self, back_end, share, now):
+        """
+        Grant a send for any daemon; return 0.0, or the seconds to wait.
+
+        `share` is the part of the limit that may be granted here.
+        """
+        rate = self.rate(back_end) * share
         if rate == inf:
             return 0.0
         limiter = self._limiters.get(back_end)
@@ -148,7 +161,7 @@
 
     def _set_limit(self, back_end, rate, at):
         known_rate, known_at = self._limits.get(back_end, (inf, -inf))
-        if at <= known_at:
+        if at <= known_at or not rate >= 0.0:
             return False
         self._limits[back_end] = rate, at
         if len(self._limits) > MAX_LIMITS:
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -7,7 +7,7 @@
 
 import asyncio
 
-from rosemarypath.clock import now
+from rosemarypath.clock import lease_now, now
 from rosemarypath.errors import ConnectError, ResponseError
 from rosemarypath.httpclient import encode_request
 from rosemarypath.outcome import NotRun, Unknown
@@ -27,6 +27,8 @@
 UNREACHABLE_RETRY_SECONDS = 0.1  # short, as another back end is tried next
 CRASH_CHECK_SECONDS = 0.3  # to find out whether a back end still listens
 MISDIRECTED = 421
+GRANT_SECONDS = 0.5  # for which a send may use its grant
+LIMITED = "limited"  # the back end takes no more requests from all daemons for now
 WITHDRAWN = "withdrawn"  # the back end stopped accepting the request meanwhile
 
 
@@ -61,6 +63,13 @@
         `Unknown`.
         """
         send = Send(context, state, now(), connection)
+        if self._fleet.has_limit(state):
+            context.enter_stage("grant", state.name, send.started)
+            seconds = await self._fleet.grants.acquire(state.incarnation)
+            if seconds > 0.0:
+                return self._fail_limited(send, seconds)
+            send.granted_at = lease_now()
+            context.enter_stage("send", state.name, now())
         is_fresh = not context.route.is_idempotent
         try:
             send.upstream = await self._pool.acquire(
@@ -76,6 +85,8 @@
         context.sends += 1
         context.tried.append(state.name)
         state.begin_request(context.demand, send.started)
+        if send.granted_at is None:
+            self._fleet.rate_limits.record_send(state.incarnation, send.started)
         context.end_wait()
         try:
             outcome = await self._exchange(send)
@@ -92,9 +103,12 @@
         """Return whether the back end and the request are still eligible."""
         parts = send.context.demand.shared_parts
         verdict = self._fleet.quarantine.verdict(parts, send.started)
-        return not verdict.blocked_part and self._fleet.accepts_request(
-            send.state, send.started
-        )
+        if verdict.blocked_part:
+            return False
+        is_granted = send.granted_at is not None
+        if is_granted and lease_now() - send.granted_at > GRANT_SECONDS:
+            return False
+        return self._fleet.accepts_request(send.state, is_granted, send.started)
 
     async def _record_crash(self, send):
         """Record a crash under the request's prompt if the back end is gone."""
@@ -263,6 +277,12 @@
         send.context.excluded.add(send.state.name)
         return NotRun(503, "unreachable", message, UNREACHABLE_RETRY_SECONDS, True)
 
+    def _fail_limited(self, send, seconds):
+        """Record that the back end takes no further request for `seconds`."""
+        send.state.closed_until = now() + seconds
+        self._log_end(send, LIMITED, f"{seconds:.3f}")
+        return NotRun(503, LIMITED, "the back end's limit is used up", seconds, True)
+
     def _fail_withdrawn(self, send):
         """Record that the back end stopped accepting requests during the connect."""
         self._pool.release(send.upstream, now())
--- a/standins/simulatedfleet.py
+++ b/standins/simulatedfleet.py
@@ -8,13 +8,15 @@
 from collections import Counter
 from types import SimpleNamespace
 
-from rosemarypath import heartbeats
+from rosemarypath import heartbeats, sendgrants
 from rosemarypath.backendstate import PEER_LOAD_SECONDS
 from rosemarypath.heartbeats import Heartbeats
 from rosemarypath.machine import Machine
 from rosemarypath.mirror import StoreHealth
 from rosemarypath.peers import Peers
 from rosemarypath.scheduling.quarantine import Quarantine
+from rosemarypath.scheduling.ratelimits import RateLimits
+from rosemarypath.sendgrants import SendGrants
 from rosemarypath.storeavailability import StoreAvailability
 
 __all__ = ["BEAT", "Daemon", "FakeMesh", "Network", "Play"]
@@ -25,7 +27,8 @@
 
 class Network:
     """
-    Delivers messages at once, except to and from machines that are off.
+    Delivers messages at once, except to and from machines that are off, and between
+    the pairs of machines in `cut`.
 
     What is sent to a frozen machine is delivered when it runs again. ``measure(sender,
     receiver, message)`` returns the bytes of a message, which `sizes` adds up.
@@ -34,6 +37,7 @@
     def __init__(self):
         self.meshes = {}
         self.off = set()
+        self.cut = set()
         self.frozen = set()
         self._kept = {}
         self.sent = Counter()
@@ -44,6 +48,8 @@
         self.sent[sender] += 1
         if self.measure is not None:
             self.sizes[sender] += self.measure(sender, receiver, message)
+        if frozenset((sender, receiver)) in self.cut:
+            return None
         if {sender, receiver} & self.off or receiver not in self.meshes:
             return None
         if receiver in self.frozen:
@@ -87,6 +93,7 @@
         self._clock = clock
         self.budgets = SimpleNamespace(spent={"kiln": 0})
         self.quarantine = Quarantine()
+        self.rate_limits = RateLimits()
         self.running = 1 + number % 3
         self.held = {}
         self.awaited = {}
@@ -110,11 +117,13 @@
 
     def record_peer_state(self, identity, state, now):
         self.quarantine.merge(state.crashes, state.begun, now)
+        self.rate_limits.merge(identity, state.limits, now)
         self.heard[identity] = (now, state)
         self.heard_held.update(state.held)
 
     def record_digest(self, source, digest, now):
         self.quarantine.merge(digest.crashes, digest.begun, now)
+        self.rate_limits.merge(source, digest.limits, now)
         self.heard[source] = (now, digest)
         self.heard_held.update(digest.held)
 
@@ -147,6 +156,8 @@
             self.peers, self.mesh, self.fleet, self.store_cache
         )
         self.heartbeats.start()
+        self.grants = SendGrants(self.peers, self.mesh, self.fleet.rate_limits)
+        self.grants.start()
 
 
 class Play:
@@ -160,6 +171,7 @@
         self.now = 0.0
         patch.setattr(heartbeats, "now", lambda: self.now)
         patch.setattr(heartbeats, "lease_now", lambda: self.now)
+        patch.setattr(sendgrants, "now", lambda: self.now)
         self.network = Network()
         machines = [
             Machine(
