Send no more requests to a back end whose answer says that it leaves

The header was decoded and logged; the store's entry alone decided, which some back ends never mark.

The fact is kept for the incarnation of the back end: a restart ends it, an answer without it does not. It counts like a draining entry for the choice, for the check at the send after all waits, and for orders to engines. It is not told to other machines: a wrong header of a faulty back end would take it out everywhere.

--- a/rosemarypath/backendstate.py
+++ b/rosemarypath/backendstate.py
@@ -44,7 +44,8 @@
     `entry` is the `BackEndEntry` of the platform's list, `seen_at` the time at which it
     was read. `is_missing` is set while the entry is gone from the list, but may only
     have lapsed in an outage of the store. Until `closed_until` it gets no requests from
-    this daemon, as it has no room for them.
+    this daemon, as it has no room for them. `says_it_leaves` is set once one of its
+    answers has told so.
     """
 
     def __init__(self, entry, now):
@@ -64,6 +65,7 @@
         self.last_used = {}
         self.latency = 0.0
         self.closed_until = float("-inf")
+        self.says_it_leaves = False
         self.controller_reported_at = float("-inf")
         self.recent_adapters = {}
         self._open_places = 0
@@ -79,6 +81,11 @@
         """Return the back end's name."""
         return self.entry.back_end.name
 
+    @property
+    def is_leaving(self):
+        """Return whether its entry or one of its answers told that it is to end."""
+        return self.says_it_leaves or self.entry.is_draining
+
     @property
     def incarnation(self):
         """Return an identifier of the back end that changes when it restarts."""
@@ -245,6 +252,7 @@
             self.model_versions = {}
             self.recent_adapters = {}
             self.closed_until = float("-inf")
+            self.says_it_leaves = False
         self.entry = entry
         self.seen_at = now
         self.is_missing = False
@@ -301,7 +309,7 @@
         state = self.states.get(name)
         if state is None:
             return
-        if may_be_lapse and not state.entry.is_draining:
+        if may_be_lapse and not state.is_leaving:
             state.is_missing = True
         else:
             self._drop(name)
@@ -328,12 +336,13 @@
             self._by_service[service] = [
                 state
                 for state in self.states.values()
-                if state.back_end.serves == service and not state.entry.is_draining
+                if state.back_end.serves == service
             ]
         return [
             state
             for state in self._by_service[service]
-            if state.back_end.zone not in self.evacuated_zones
+            if not state.is_leaving
+            and state.back_end.zone not in self.evacuated_zones
             and (include_missing or not state.is_missing)
         ]
 
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -149,7 +149,8 @@
             self._log_limit(name)
         if feedback.pause_seconds > 0.0:
             self._log_request_of(state, "paused", seconds=feedback.pause_seconds)
-        if feedback.is_leaving:
+        if feedback.is_leaving and not state.says_it_leaves:
+            state.says_it_leaves = True
             self._log_request_of(state, "leaving")
 
     def _merge_limits(self, source, limits, now):
@@ -405,7 +406,7 @@
         return [
             state
             for state in self.back_ends.states.values()
-            if state.back_end.kind == ENGINE and not state.entry.is_draining
+            if state.back_end.kind == ENGINE and not state.is_leaving
         ]
 
     def _machine_count(self):
