Send nothing to a back end for the time that its 503 asks for

The header was not read; a rejection only weighed on the choice for some seconds. The back end is now closed to this machine until then, in the choice and at the send after all waits. When all back ends that may run a request are closed, its caller is refused at once, with the time until the first of them opens, in place of 0.3 s.

--- a/rosemarypath/backendstate.py
+++ b/rosemarypath/backendstate.py
@@ -95,6 +95,10 @@
         """Return whether it has just started, so that sends to it are limited."""
         return now < self.cold_until
 
+    def close(self, until):
+        """Send no requests until the time `until`, or longer if it is closed so."""
+        self.closed_until = max(self.closed_until, until)
+
     def total_load(self, now):
         """
         Return the load of all daemons.
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -148,6 +148,7 @@
         if self.rate_limits.record_answer(name, feedback.rate_limit, sent_at, now):
             self._log_limit(name)
         if feedback.pause_seconds > 0.0:
+            state.close(now + feedback.pause_seconds)
             self._log_request_of(state, "paused", seconds=feedback.pause_seconds)
         if feedback.is_leaving and not state.says_it_leaves:
             state.says_it_leaves = True
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -279,7 +279,7 @@
 
     def _fail_limited(self, send, seconds):
         """Record that the back end takes no further request for `seconds`."""
-        send.state.closed_until = now() + seconds
+        send.state.close(now() + seconds)
         self._log_end(send, LIMITED, f"{seconds:.3f}")
         return NotRun(503, LIMITED, "the back end's limit is used up", seconds, True)
 
--- a/tests/test_feedback.py
+++ b/tests/test_feedback.py
@@ -50,3 +50,75 @@
         assert {reply.status for reply in replies} == {200}
 
     play(scenario)
+
+
+def test_back_ends_that_ask_for_a_pause_get_no_requests_in_it():
+    async def scenario(fleet, clock):
+        for ledger in fleet.ledgers:
+            ledger.faults.pause_seconds = "3.5"
+            ledger.faults.sheds = 1000
+        await call_often(fleet, 3.5, path=b"/read/x")
+        for ledger in fleet.ledgers:
+            arrivals = [request.received_at for request in ledger.requests]
+            ages = [at - arrivals[0] for at in arrivals]
+            during = [age for age in ages if PAUSE_SLACK_SECONDS < age < 3.5]
+            assert len(during) <= PAUSE_SLACK_REQUESTS
+            ledger.faults.sheds = 0
+        await asyncio.sleep(0.5)
+        replies = await call_often(fleet, 1.0, path=b"/read/x")
+        assert {reply.status for reply in replies} == {200}
+
+    play(scenario, daemons=1)
+
+
+def test_callers_learn_when_a_service_that_is_paused_has_room():
+    async def scenario(fleet, clock):
+        for ledger in fleet.ledgers:
+            ledger.faults.pause_seconds = "2"
+            ledger.faults.sheds = 1000
+        asked_at = clock()
+        await call_often(fleet, 0.5, path=b"/read/x")
+        reply = await fleet.call(b"/read/x")
+        left = asked_at + 2.0 - clock()
+        assert reply.status == 503
+        assert 0.5 * left <= float(reply.header(b"retry-after")) <= 2.0 * left
+
+    play(scenario, daemons=1)
+
+
+@pytest.mark.parametrize(
+    "status, headers, feedback",
+    [
+        (200, [], Feedback()),
+        (200, [(b"server-limit", b"1.6")], Feedback(rate_limit=1.6)),
+        (200, [(b"server-limit", b"0")], Feedback(rate_limit=0.0)),
+        (200, [(b"server-limit", b"many")], Feedback(rate_limit=None)),
+        (200, [(b"server-limit", b"")], Feedback(rate_limit=None)),
+        (200, [(b"server-limit", b"-1")], Feedback(rate_limit=None)),
+        (200, [(b"server-limit", b"nan")], Feedback(rate_limit=None)),
+        (200, [(b"server-limit", b"inf")], Feedback(rate_limit=None)),
+        (200, [(b"server-limit", b"\xff")], Feedback(rate_limit=None)),
+        (
+            200,
+            [(b"server-limit", b"5"), (b"server-limit", b"2")],
+            Feedback(rate_limit=2.0),
+        ),
+        (200, [(b"server-leaving", b" 1 ")], Feedback(is_leaving=True)),
+        (200, [(b"server-leaving", b"0")], Feedback()),
+        (503, [(b"retry-after", b"1.5")], Feedback(pause_seconds=1.5)),
+        (503, [(b"retry-after", b"soon")], Feedback()),
+        (503, [(b"retry-after", b"-3")], Feedback()),
+        (429, [(b"retry-after", b"1.5")], Feedback()),
+        (421, [(b"server-limit", b"2")], Feedback(rate_limit=2.0)),
+        (
+            421,
+            [(b"x-instance-id", b"i-1"), (b"server-leaving", b"1")],
+            Feedback(is_leaving=True),
+        ),
+        (421, [(b"x-instance-id", b"i-2"), (b"server-leaving", b"1")], None),
+    ],
+)
+def test_feedback_is_decoded_and_malformed_values_are_not_taken(
+    status, headers, feedback
+):
+    assert decode_feedback(Reply(status, tuple(headers), b""), BACK_END) == feedback
