--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import copy
 from urllib.parse import parse_qs, unquote, urlsplit
 
 import msgspec
@@ -31,7 +32,7 @@
     never answers them). `refused` and `silent` are sets of listening addresses, opened
     by `open_address`, at which all calls are answered 503 or not answered. `calls`
     counts the calls that were not refused by address, `revision` is the revision of
-    the last write.
+    the last write. `era` counts how often the store came back from an older copy.
     """
 
     def __init__(self, address):
@@ -44,6 +45,7 @@
         self._watch_count = 0
         self._silent_watches = {}
         self.revision = 1
+        self.era = 1
         self.fault = ""
         self.refused = set()
         self.silent = set()
@@ -108,6 +110,21 @@
         self._compacted_revision = self.revision
         self.drop_connections()
 
+    def copy(self):
+        """Return a copy of all objects, for `restore`."""
+        return copy.deepcopy(self._kinds), self.revision
+
+    def restore(self, saved):
+        """
+        Come back with an older copy: what was written since is gone.
+
+        Revisions go on from that of the copy, and the history begins anew.
+        """
+        kinds, self.revision = saved
+        self._kinds = copy.deepcopy(kinds)
+        self.era += 1
+        self.compact()
+
     def silence_watches(self, kind):
         """Never answer the pending watches of `kind`; keep their connections open."""
         self._silent_watches[kind] = self._watch_count
@@ -140,7 +157,8 @@
         status, document = await self._dispatch(request)
         if self.fault == "lost" and request.method != b"GET":
             await asyncio.sleep(3600)
-        connection.answer(status, JSON_HEADERS, msgspec.json.encode(document))
+        headers = [*JSON_HEADERS, (b"Store-Era", b"%d" % self.era)]
+        connection.answer(status, headers, msgspec.json.encode(document))
 
     async def _dispatch(self, request):
         parts = urlsplit(request.path.decode())
@@ -162,7 +180,7 @@
 
     async def _watch(self, kind, query):
         since = int(query["watch"])
-        if since < self._compacted_revision:
+        if not self._compacted_revision <= since <= self.revision:
             return 410, {}
         deadline = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
         self._watch_count += 1
