Order what the store says by its era, then by its revision

Cause: after the store had come back from an older copy, each list had a lower revision than the copy here and was dropped; the watch asked from the old revision, got 410, and so on without a pause. Class: an order of events taken from a counter that its owner may set back.

The store's client joins Store-Era and revision in one number, the position, when it decodes an answer, and takes them apart in a call. So all comparisons, here and between machines, and fencing tokens, rise with the era; a peer of an older era is behind. A watch or condition of another era is not trusted, as its revision may have been given out again. Answers of an earlier era count as none and are logged; without the header the era is the known one. A repeated 410 is asked about with pauses.

--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -69,7 +69,7 @@
         self._log = log or DecisionLog(settings.machine)
         self._metrics = EdgeMetrics(settings.machine, settings.zone, time.time())
         self._pool = ConnectionPool()
-        self._store = dialect.store(settings.store_address, self._pool)
+        self._store = dialect.store(settings.store_address, self._pool, self._log_era)
         own = Machine(
             name=settings.machine,
             incarnation=new_incarnation(),
@@ -263,6 +263,12 @@
         handlers.pop(settings.callers_address, None)
         return [Listener(a, h, IngressLimits()) for a, h in handlers.items()]
 
+    def _log_era(self, era, known):
+        """Log that the store came back from an older copy, or names a wrong era."""
+        event = "restored" if era is not None and era > known else "stale"
+        if known or event == "stale":
+            self._log.write("store", event, era=era, known=known)
+
     def _record_engine_feedback(self, back_end, feedback, sent_at):
         """Record the `Feedback` in the answer to an order or to a report's request."""
         state = self._fleet.back_ends.states.get(back_end.name)
--- a/rosemarypath/mirror.py
+++ b/rosemarypath/mirror.py
@@ -16,6 +16,7 @@
     StoreUnavailableError,
     VersionGoneError,
 )
+from rosemarypath.stored import era_of
 
 __all__ = [
     "PROBE_SECONDS",
@@ -44,9 +45,9 @@
     Attributes:
 
     `revision`
-        The store's revision up to which the copy is complete.
+        The store's position up to which the copy is complete.
     `changed_revision`
-        The revision at which the copy last changed.
+        The position at which the copy last changed.
     `read_at`
         Lease clock in seconds at which this daemon's last answered call was sent to the
         store; the copy was complete at that time.
@@ -85,10 +86,12 @@
         }
         removed = self.objects.keys() - fresh.keys()
         is_first = not self.is_known
+        begins_era = era_of(revision) != era_of(self.revision)
         self.objects = fresh
         self.revision = revision
         self.is_known = True
-        if changed or removed or is_first:
+        # A new era is news for other daemons even if nothing else changed.
+        if changed or removed or is_first or begins_era:
             self.changed_revision = max(self.changed_revision, revision)
             self._on_change(changed, removed)
 
@@ -236,6 +239,7 @@
         self._on_events = on_events
         self._batch_seconds = batch_seconds
         self._needs_list = True
+        self._unused_lists = 0  # since a watch was answered
         self._wait = None
 
     def check_soon(self):
@@ -258,9 +262,13 @@
                 is_check = True
             try:
                 is_check = not await self._step(is_check)
-                pause = RETRY_MIN_SECONDS
+                if not self._unused_lists:
+                    pause = RETRY_MIN_SECONDS
             except VersionGoneError:
                 self._note_answer()
+                if self._unused_lists > 1:
+                    await asyncio.sleep(pause)
+                    pause = min(RETRY_MAX_SECONDS, pause * 2)
                 self._needs_list = True
             except (StoreUnavailableError, NotFoundError) as error:
                 self._health.note_failure(time.monotonic(), error.message)
@@ -282,6 +290,7 @@
             mirror.replace(objects, revision)
             mirror.read_at = asked_at
             self._needs_list = False
+            self._unused_lists += 1
             return True
         since = mirror.changed_revision
         seconds = (
@@ -297,6 +306,7 @@
         finally:
             self._wait = None
         self._note_answer()
+        self._unused_lists = 0
         if revision > mirror.revision:
             mirror.apply(events, revision)
         mirror.read_at = asked_at
--- a/rosemarypath/platform/store.py
+++ b/rosemarypath/platform/store.py
@@ -20,27 +20,30 @@
     StoreUnavailableError,
     VersionGoneError,
 )
-from rosemarypath.stored import StoredObject
+from rosemarypath.stored import StoredObject, era_of, position, revision_of
 
 __all__ = ["PlatformStore"]
 
 CALL_TIMEOUT_SECONDS = 1.0  # a healthy store answers in milliseconds
 WATCH_MARGIN_SECONDS = 0.4  # added to the wait of a watch before it times out
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
+ERA = b"store-era"
 UNAVAILABLE_REMEDY = "check that the platform's store is up and reachable"
 
 
-def decode_object(document):
+def decode_object(document, era=0):
     """
     Return the `StoredObject` in an item of a list, in an event or in an answer.
 
-    Its `version` is the object's revision in the store.
+    `era` is the store's era in that answer.
     """
     metadata = document["metadata"]
     # "revision" is not counted per object: it is the store's counter at the object's
     # last change.
     return StoredObject(
-        metadata["name"], int(metadata["revision"]), document.get("spec")
+        metadata["name"],
+        position(era, int(metadata["revision"])),
+        document.get("spec"),
     )
 
 
@@ -49,11 +52,15 @@
     Client of the store at `address` (``host:port``).
 
     `pool` is the `ConnectionPool` to use. Every call raises `StoreUnavailableError`
-    when the store does not answer in time or answers with an unexpected status.
+    when the store does not answer in time, answers with an unexpected status, or in an
+    earlier era than before. ``on_era(era, known)`` is called when an answer names
+    another era than the newest `known` one; `era` is ``None`` if it is unreadable.
     """
 
-    def __init__(self, address, pool):
+    def __init__(self, address, pool, on_era=lambda era, known: None):
         self._pool = pool
+        self._on_era = on_era
+        self._era = 0
         self.calls = Counter()
         self.set_address(address)
 
@@ -64,42 +71,49 @@
 
     async def list(self, kind):
         """
-        Return all objects of `kind`, and the store's revision at the first page.
+        Return all objects of `kind`, and the store's position at the first page.
 
-        A watch from that revision misses no change made while the pages are read.
+        A watch from that position misses no change made while the pages are read.
         """
         objects = []
         after = ""
-        revision = None
+        start = None
         while True:
             query = f"?after={quote(after, safe='')}" if after else ""
-            page = await self._read(kind, f"/{kind}{query}")
-            if revision is None:
-                revision = int(page["storeRevision"])
-            objects += [decode_object(item) for item in page["items"]]
+            page, era = await self._read(kind, f"/{kind}{query}")
+            if start is None:
+                start = position(era, int(page["storeRevision"]))
+            elif era_of(start) != era:
+                raise self._unavailable_error(f"list of {kind}: a new era began")
+            objects += [decode_object(item, era) for item in page["items"]]
             if not page.get("hasMore") or not page["items"]:
-                return objects, revision
+                return objects, start
             after = objects[-1].name
 
     async def get(self, kind, name):
         """Return one `StoredObject`; raises `NotFoundError`."""
-        return decode_object(await self._read(kind, f"/{kind}/{quote(name, safe='')}"))
+        document, era = await self._read(kind, f"/{kind}/{quote(name, safe='')}")
+        return decode_object(document, era)
 
-    async def watch(self, kind, revision, seconds):
+    async def watch(self, kind, since, seconds):
         """
-        Wait up to `seconds` for changes of `kind` after `revision`.
+        Wait up to `seconds` for changes of `kind` after the position `since`.
 
-        Returns a list of pairs (object, whether it was removed) and the new revision.
+        Returns a list of pairs (object, whether it was removed) and the new position.
         Raises `VersionGoneError` if the store no longer has the changes since
-        `revision`, or if they are too large for one answer.
+        `since`, or if they are too large for one answer.
         """
-        path = f"/{kind}?watch={revision}&waitMs={int(seconds * 1000)}"
-        page = await self._read(kind, path, "watch", seconds + WATCH_MARGIN_SECONDS)
+        path = f"/{kind}?watch={revision_of(since)}&waitMs={int(seconds * 1000)}"
+        page, era = await self._read(
+            kind, path, "watch", seconds + WATCH_MARGIN_SECONDS
+        )
+        if era != era_of(since):
+            raise VersionGoneError(f"{kind}: a new era began", "list it anew")
         events = [
-            (decode_object(event["object"]), bool(event["removed"]))
+            (decode_object(event["object"], era), bool(event["removed"]))
             for event in page["events"]
         ]
-        return events, int(page["storeRevision"])
+        return events, position(era, int(page["storeRevision"]))
 
     async def create(self, kind, name, spec):
         """Create an object and return it; raises `ConflictError` if it exists."""
@@ -114,14 +128,20 @@
         """
         metadata = {"name": name}
         if version:
-            metadata["revision"] = version
+            self._check_era(kind, version)
+            metadata["revision"] = revision_of(version)
         body = {"metadata": metadata, "spec": spec}
         path = f"/{kind}/{quote(name, safe='')}"
-        return await self._write(b"PUT", kind, path, body)
+        stored = await self._write(b"PUT", kind, path, body)
+        if version:
+            # The store may have given the revision out again, to another change.
+            self._check_era(kind, version)
+        return stored
 
     async def delete(self, kind, name, version):
         """Remove an object if its version still is `version`."""
-        path = f"/{kind}/{quote(name, safe='')}?revision={version}"
+        self._check_era(kind, version)
+        path = f"/{kind}/{quote(name, safe='')}?revision={revision_of(version)}"
         await self._call(b"DELETE", kind, "delete", path, b"", CALL_TIMEOUT_SECONDS)
 
     async def _read(self, kind, path, verb="read", timeout=CALL_TIMEOUT_SECONDS):
@@ -129,14 +149,19 @@
 
     async def _write(self, method, kind, path, document):
         body = msgspec.json.encode(document)
-        answer = await self._call(
+        answer, era = await self._call(
             method, kind, "write", path, body, CALL_TIMEOUT_SECONDS
         )
         try:
-            return decode_object(answer)
+            return decode_object(answer, era)
         except (KeyError, TypeError, ValueError) as error:
             raise self._unavailable_error(f"unreadable answer ({error!r})") from error
 
+    def _check_era(self, kind, version):
+        """Raise `ConflictError` if a `version` is of an earlier era."""
+        if era_of(version) != self._era:
+            raise ConflictError(f"{kind} is of another era", "read it and retry")
+
     async def _call(self, method, kind, verb, path, body, timeout):
         self.calls[(kind, verb)] += 1
         target = f"/api/objects{path}".encode()
@@ -156,7 +181,27 @@
             raise self._unavailable_error(
                 f"{verb} of {kind}: {error.message}"
             ) from error
-        return self._decode_reply(reply, kind, verb)
+        era = self._decode_era(reply, kind, verb)
+        return self._decode_reply(reply, kind, verb), era
+
+    def _decode_era(self, reply, kind, verb):
+        """Return the era of an answer; one without the header is of the known era."""
+        value = reply.header(ERA)
+        if value is None:
+            return self._era
+        known = self._era
+        if not value.isdigit():
+            self._on_era(None, known)
+            return known
+        era = int(value)
+        if era != known:
+            self._on_era(era, known)
+        if era < known:
+            raise self._unavailable_error(
+                f"{verb} of {kind} answered in era {era} after {known}"
+            )
+        self._era = era
+        return era
 
     def _decode_reply(self, reply, kind, verb):
         if reply.status == 404:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -13,6 +13,7 @@
 from rosemarypath.edge import EdgeDaemon
 from rosemarypath.errors import ConnectError, ResponseError, SettingsError
 from rosemarypath.platform.dialect import PlatformDialect
+from rosemarypath.stored import position
 from tests.edgefleet import configuration, running_fleet
 
 
@@ -146,11 +147,12 @@
     async def scenario(fleet):
         store_cache = fleet.daemons[0].store_cache
         asked = []
+        ahead = position(fleet.store.era, 10**9)
         store_cache.request_snapshot = lambda identity, mirror: asked.append(
             mirror.kind
         )
         for tick in range(20):
-            store_cache.compare_revisions("ahead", {"config": 10**9}, tick * 0.1)
+            store_cache.compare_revisions("ahead", {"config": ahead}, tick * 0.1)
             store_cache.compare_revisions("behind", {"config": 1}, tick * 0.1)
         assert len(asked) >= 5
 
