Keep the state before a drill until its writers have written it again

Cause: a copy some seconds old was taken for the newest state. Class: that an answer is the newest one of its store does not make it newer than what is known.

Each kind says whether what is known outranks what the copy has: a configuration of a higher number of the operator, an entry of a back end unless the copy's shows a later start or a departure, a machine that is heard, anything that the copy lacks (an evacuation, a version). It stays in force until the object is written again or 5 s have passed, more than the three renewals after which dead entries go; a configuration of a lower number never comes into force. What is passed on to peers is the store's state, as each machine judges by itself. A machine registers again when the store has no entry of its present start.

--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -304,6 +304,7 @@
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             for name in self._fleet.drop_missing(now()):
                 self._log.write("servers", "removed", name=name, why="did not return")
+            self._store_cache.settle(now())
             self._fleet.back_ends.trim_last_used()
             self._pool.close_expired(now())
             await self._registration.remove_silent_machines()
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -82,9 +82,16 @@
         self.leases.lease_seconds = settings.lease
 
     def set_routing_table(self, table, now):
-        """Apply a `RoutingTable` if it is newer; return whether it was."""
+        """
+        Apply a `RoutingTable` if it is newer; return whether it was.
+
+        A store that came back from an older copy may have an earlier version of the
+        operator at a later position.
+        """
         known = self.table
-        if known is not None and table.revision <= known.revision:
+        if known is not None and (
+            table.revision <= known.revision or table.version < known.version
+        ):
             return False
         self.table = table
         contracts = set(table.customers.values())
--- a/rosemarypath/mirror.py
+++ b/rosemarypath/mirror.py
@@ -31,6 +31,7 @@
 PROBE_SECONDS = 0.5  # for a watch that also detects when the store stops answering
 IMMEDIATE_WATCH_SECONDS = 0.001  # for only checking whether the store answers
 EVENT_BATCH_SECONDS = 0.25  # pause after events, so that one watch collects a burst
+SETTLE_SECONDS = 5.0  # after which writers have written again what a store has lost
 RETRY_MIN_SECONDS = 0.1
 RETRY_MAX_SECONDS = 1.0
 
@@ -42,6 +43,11 @@
     ``on_change(changed, removed)`` is called with the sets of changed and of removed
     names.
 
+    A store that comes back from an older copy lacks what was written since, until its
+    writers write it again. Where ``outranks(former, restored)`` is true of an object
+    before and after, ``None`` where there is none, it stays as it was until it is
+    written or `SETTLE_SECONDS` have passed.
+
     Attributes:
 
     `revision`
@@ -52,18 +58,24 @@
         Lease clock in seconds at which this daemon's last answered call was sent to the
         store; the copy was complete at that time.
     `objects`
-        Maps names to `StoredObject`.
+        Maps names to the `StoredObject` that is in force.
+    `stored`
+        The same for the objects that the store has.
     `is_known`
         Whether the kind was ever read.
     """
 
-    def __init__(self, kind, on_change):
+    def __init__(self, kind, on_change, outranks=None):
         self._on_change = on_change
+        self._outranks = outranks
         self._own_revision = 0
+        self._former = {}
+        self._settles_at = None
         self.kind = kind
         self.revision = 0
         self.changed_revision = 0
         self.read_at = float("-inf")
+        self.stored = {}
         self.objects = {}
         self.is_known = False
 
@@ -76,44 +88,60 @@
         if self.is_current(revision):
             return
         fresh = {stored.name: stored for stored in objects}
-        for name, stored in self.objects.items():
+        for name, stored in self.stored.items():
             if stored.version > revision:
                 fresh[name] = stored
-        changed = {
-            name
-            for name, stored in fresh.items()
-            if name not in self.objects or self.objects[name].version != stored.version
-        }
-        removed = self.objects.keys() - fresh.keys()
         is_first = not self.is_known
-        begins_era = era_of(revision) != era_of(self.revision)
-        self.objects = fresh
+        begins_era = not is_first and era_of(revision) != era_of(self.revision)
+        if begins_era and self._outranks is not None:
+            self._keep_former(fresh)
+        else:
+            self._former = {
+                name: (former, version)
+                for name, (former, version) in self._former.items()
+                if _version(fresh.get(name)) == version
+            }
+        self.stored = fresh
         self.revision = revision
         self.is_known = True
+        changed, removed = self._update_objects()
         # A new era is news for other daemons even if nothing else changed.
         if changed or removed or is_first or begins_era:
             self.changed_revision = max(self.changed_revision, revision)
             self._on_change(changed, removed)
 
+    def settle(self, now):
+        """
+        Follow the store entirely once `SETTLE_SECONDS` of an era have passed.
+
+        Called about once a second.
+        """
+        if self._settles_at is None or now < self._settles_at:
+            return
+        if self._settles_at == float("-inf"):
+            self._settles_at = now + SETTLE_SECONDS
+            return
+        self._settles_at = None
+        self._former = {}
+        changed, removed = self._update_objects()
+        if changed or removed:
+            self._on_change(changed, removed)
+
     def apply(self, events, revision):
         """Apply the events of a watch that reaches up to `revision`."""
         if revision <= self.revision:
             return
-        changed = set()
-        removed = set()
         for stored, is_removed in events:
-            known = self.objects.get(stored.name)
+            known = self.stored.get(stored.name)
             if known is not None and known.version > max(stored.version, revision):
                 continue
+            self._former.pop(stored.name, None)
             if is_removed:
-                if self.objects.pop(stored.name, None) is not None:
-                    removed.add(stored.name)
-                changed.discard(stored.name)
+                self.stored.pop(stored.name, None)
             else:
-                self.objects[stored.name] = stored
-                changed.add(stored.name)
-                removed.discard(stored.name)
+                self.stored[stored.name] = stored
         self.revision = revision
+        changed, removed = self._update_objects()
         if changed or removed:
             self.changed_revision = max(self.changed_revision, revision)
             self._on_change(changed, removed)
@@ -122,10 +150,36 @@
         """Add an object that this daemon has just written."""
         self._own_revision = max(self._own_revision, stored.version)
         self.changed_revision = max(self.changed_revision, stored.version)
-        known = self.objects.get(stored.name)
-        if known is None or known.version < stored.version:
-            self.objects[stored.name] = stored
-            self._on_change({stored.name}, set())
+        if _version(self.stored.get(stored.name)) < stored.version:
+            self._former.pop(stored.name, None)
+            self.stored[stored.name] = stored
+            self._on_change(*self._update_objects())
+
+    def _keep_former(self, fresh):
+        """Keep in force what an older copy, which a new era begins with, changed."""
+        self._former = {}
+        for name in self.objects.keys() | fresh.keys():
+            former, restored = self.objects.get(name), fresh.get(name)
+            if former is not restored and self._outranks(former, restored):
+                self._former[name] = former, _version(restored)
+        self._settles_at = float("-inf")
+
+    def _update_objects(self):
+        """Update the objects in force; return the changed and the removed names."""
+        before = self.objects
+        after = dict(self.stored)
+        for name, (former, _) in self._former.items():
+            if former is not None:
+                after[name] = former
+            else:
+                after.pop(name, None)
+        self.objects = after
+        changed = {
+            name
+            for name, stored in after.items()
+            if _version(before.get(name)) != stored.version
+        }
+        return changed, before.keys() - after.keys()
 
     @property
     def newest_revision(self):
@@ -133,6 +187,11 @@
         return max(self.revision, self._own_revision)
 
 
+def _version(stored):
+    """Return the version of an object, 0 where there is none."""
+    return 0 if stored is None else stored.version
+
+
 class StoreHealth:
     """
     Whether the store answers this daemon.
--- a/rosemarypath/platform/configuration.py
+++ b/rosemarypath/platform/configuration.py
@@ -58,6 +58,14 @@
         raise ValueError(f"configuration at {stored.version}: {error!r}") from error
 
 
+def configuration_number(stored):
+    """Return the operator's number of a configuration, 0 if it is unreadable."""
+    try:
+        return int(stored.spec["version"])
+    except (KeyError, TypeError, ValueError):
+        return 0
+
+
 def decode_version(stored):
     """
     Return model, adapter and version that an object of `VERSION_KIND` announces.
--- a/rosemarypath/platform/dialect.py
+++ b/rosemarypath/platform/dialect.py
@@ -37,6 +37,7 @@
     read_settings = staticmethod(settings.read_settings)
     decode_configuration = staticmethod(configuration.decode_configuration)
     decode_version = staticmethod(configuration.decode_version)
+    configuration_number = staticmethod(configuration.configuration_number)
     decode_server = staticmethod(servers.decode_server)
     decode_demand = staticmethod(requests.decode_demand)
     forwarded_headers = staticmethod(requests.forwarded_headers)
--- a/rosemarypath/platformsync.py
+++ b/rosemarypath/platformsync.py
@@ -37,16 +37,43 @@
         self._log = log
         self._on_limits = on_limits
         add = store_cache.add
-        self._configuration = add(dialect.configuration_kind, self._on_configuration)
-        self._servers = add(dialect.server_kind, self._on_servers)
-        self._versions = add(dialect.version_kind, self._on_versions)
-        self._evacuations = add(dialect.evacuation_kind, self._on_evacuations)
+        self._configuration = add(
+            dialect.configuration_kind,
+            self._on_configuration,
+            self._outranks_configuration,
+        )
+        self._servers = add(dialect.server_kind, self._on_servers, self._outranks_entry)
+        self._versions = add(dialect.version_kind, self._on_versions, _outranks_absent)
+        self._evacuations = add(
+            dialect.evacuation_kind, self._on_evacuations, _outranks_absent
+        )
 
     @property
     def is_complete(self):
         """Return whether a configuration and the back ends are known."""
         return self._fleet.table is not None and self._servers.is_known
 
+    def _outranks_configuration(self, former, restored):
+        """Return whether the operator wrote `former` later than `restored`."""
+        number = self._dialect.configuration_number
+        if former is None or restored is None:
+            return restored is None
+        return number(former) > number(restored)
+
+    def _outranks_entry(self, former, restored):
+        """
+        Return whether `former` tells more of a back end than an older copy's entry.
+
+        A restart and the departure of a back end are later than any state before.
+        """
+        if former is None or restored is None:
+            return True
+        known = self._dialect.decode_server(former)
+        entry = self._dialect.decode_server(restored)
+        if known is None or entry is None:
+            return entry is None
+        return entry.started_at_ms <= known.started_at_ms and not entry.is_draining
+
     def _on_configuration(self, changed, removed):
         name = self._dialect.configuration_name
         stored = self._configuration.objects.get(name)
@@ -123,3 +150,8 @@
         zones = frozenset(self._evacuations.objects)
         self._fleet.back_ends.evacuated_zones = zones
         self._log.write("evacuations", "zones", out=sorted(zones))
+
+
+def _outranks_absent(former, restored):
+    """Return whether an older copy lacks the object `former`."""
+    return restored is None
--- a/rosemarypath/registration.py
+++ b/rosemarypath/registration.py
@@ -42,7 +42,9 @@
         self._peers = peers
         self._mesh = mesh
         self._log = log
-        self._mirror = store_cache.add(MACHINE_KIND, self._on_machines)
+        self._mirror = store_cache.add(
+            MACHINE_KIND, self._on_machines, self._outranks_entry
+        )
         self._needs_registration = asyncio.Event()
 
     async def run(self):
@@ -75,7 +77,7 @@
             remover = rendezvous_order(name, self._peers.alive_names(at))[0]
             if remover != self._own.name:
                 continue
-            stored = self._mirror.objects.get(name)
+            stored = self._mirror.stored.get(name)
             if stored is None:
                 continue
             try:
@@ -114,9 +116,19 @@
             p.machine.identity for p in self._peers.by_name.values()
         )
         self._mesh.retain_peers(known_identities)
-        if self._own.name not in self._mirror.objects:
+        if not self._is_registered():
             self._needs_registration.set()
 
+    def _is_registered(self):
+        """Return whether the store has this daemon's entry, not an earlier one's."""
+        stored = self._mirror.stored.get(self._own.name)
+        machine = _decode_machine(stored) if stored is not None else None
+        return machine is not None and machine.incarnation == self._own.incarnation
+
+    def _outranks_entry(self, former, restored):
+        """Return whether a machine still runs as it did before an older copy."""
+        return former is not None and self._peers.is_alive(former.name, now())
+
 
 def _decode_machine(stored):
     """Return the `Machine` of an entry, or ``None`` if it is malformed."""
--- a/rosemarypath/storecache.py
+++ b/rosemarypath/storecache.py
@@ -125,11 +125,16 @@
         """Set the seconds between two renewals of a back end's entry."""
         self.availability.outage_threshold = _outage_threshold(renewal)
 
-    def add(self, kind, on_change):
+    def add(self, kind, on_change, outranks=None):
         """Add a `Mirror` of `kind` and return it."""
-        mirror = self._mirrors[kind] = Mirror(kind, on_change)
+        mirror = self._mirrors[kind] = Mirror(kind, on_change, outranks)
         return mirror
 
+    def settle(self, now):
+        """Follow the store where it came back from an older copy long enough ago."""
+        for mirror in self._mirrors.values():
+            mirror.settle(now)
+
     def copy_of(self, kind):
         """Return the `Mirror` of `kind`."""
         return self._mirrors[kind]
@@ -293,7 +298,7 @@
         mirror = self._mirrors.get(ask.kind)
         if mirror is None or not mirror.is_known or mirror.revision <= ask.revision:
             return
-        objects = [(o.name, o.version, o.spec) for o in mirror.objects.values()]
+        objects = [(o.name, o.version, o.spec) for o in mirror.stored.values()]
         packed = pack(objects) if self._mesh.numbers_batches(identity) else b""
         if packed:
             objects = []
--- a/rosemarypath/stored.py
+++ b/rosemarypath/stored.py
@@ -39,8 +39,8 @@
     """
     One version of an object in the store.
 
-    `version` is the position of its last change, `spec` the decoded content, `writer` the token of
-    the write that made this version.
+    `version` is the position of its last change, `spec` the decoded content, `writer`
+    the token of the write that made this version.
     """
 
     name: str
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -12,13 +12,14 @@
 from rosemarypath.errors import StoreUnavailableError, VersionGoneError
 from rosemarypath.mirror import (
     IMMEDIATE_WATCH_SECONDS,
+    SETTLE_SECONDS,
     Mirror,
     StoreHealth,
     Watcher,
     WatchRole,
 )
 from rosemarypath.storeavailability import StoreAvailability
-from rosemarypath.stored import StoredObject
+from rosemarypath.stored import StoredObject, position
 
 
 def new_mirror():
@@ -194,3 +195,69 @@
     asyncio.run(run())
     assert states[-2:] == [False, True]
     assert ("short", IMMEDIATE_WATCH_SECONDS) in store.asked
+
+
+def new_settling_mirror():
+    """Return a mirror in which all of a former state outranks an older copy."""
+    mirror = Mirror("k", lambda changed, removed: None, lambda former, restored: True)
+    mirror.replace([StoredObject("a", position(1, 5), "new")], position(1, 9))
+    restored = [StoredObject(n, position(2, 3), "old") for n in ("a", "left")]
+    mirror.replace(restored, position(2, 4))
+    return mirror
+
+
+def test_what_an_older_copy_changed_stays_until_it_is_written_or_time_has_passed():
+    mirror = new_settling_mirror()
+    assert {n: o.spec for n, o in mirror.objects.items()} == {"a": "new"}
+    assert mirror.stored.keys() == {"a", "left"}
+    again = StoredObject("a", position(2, 6), "written again")
+    mirror.apply([(again, False)], position(2, 6))
+    assert {n: o.spec for n, o in mirror.objects.items()} == {"a": "written again"}
+    mirror.settle(100.0)
+    mirror.settle(100.0 + SETTLE_SECONDS - 0.1)
+    assert "left" not in mirror.objects
+    mirror.settle(100.0 + SETTLE_SECONDS)
+    assert mirror.objects["left"].spec == "old"
+
+
+def test_a_list_of_the_same_era_leaves_what_an_older_copy_changed():
+    mirror = new_settling_mirror()
+    left = StoredObject("left", position(2, 3), "old")
+    again = StoredObject("a", position(2, 6), "written again")
+    mirror.replace([again, left], position(2, 8))
+    assert {n: o.spec for n, o in mirror.objects.items()} == {"a": "written again"}
+
+
+def test_an_own_write_ends_what_was_kept():
+    mirror = new_settling_mirror()
+    mirror.record_own_write(StoredObject("a", position(2, 7), "mine"))
+    assert mirror.objects["a"].spec == "mine"
+
+
+def test_a_list_of_an_earlier_era_is_ignored():
+    mirror = new_settling_mirror()
+    mirror.replace([StoredObject("a", position(1, 20), "late")], position(1, 30))
+    mirror.apply([(StoredObject("a", position(1, 20), "late"), False)], position(1, 30))
+    assert mirror.objects["a"].spec == "new"
+
+
+def test_a_history_that_stays_gone_is_listed_with_pauses():
+    store = Store([([], 1), VersionGoneError("gone", "list")] * 500)
+    mirror, _ = new_mirror()
+
+    async def run():
+        watcher = Watcher(
+            store,
+            mirror,
+            StoreHealth(),
+            StoreAvailability(1.7),
+            WatchRole(),
+            lambda mirror, since, revision, events: None,
+            batch_seconds=0.0,
+        )
+        task = asyncio.create_task(watcher.run())
+        await asyncio.sleep(1.0)
+        task.cancel()
+
+    asyncio.run(run())
+    assert 4 <= len(store.asked) <= 16
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -57,7 +57,7 @@
         self.peers.set_machines([machine(name) for name in NAMES], 0.0, 0.0)
         mirror = Mirror(MACHINE_KIND, lambda changed, removed: None)
         mirror.replace([StoredObject(name, 5, {}) for name in NAMES], 9)
-        store_cache = SimpleNamespace(add=lambda kind, on_change: mirror)
+        store_cache = SimpleNamespace(add=lambda kind, on_change, outranks: mirror)
         log = SimpleNamespace(
             write=lambda part, event, **fields: self.lines.append((event, fields))
         )
