Give no right to an engine lease that an older copy brought back

Cause: a lease is the store's object and its position the fencing token. A copy brings back who held it earlier, or none, while the last holder goes on for the 1.5 to 2 s of its confirmation. Class: a permission outlives the record that it was given by.

A lease names the era of its writing; one of an earlier era, or that is lost, gives no right. The last holder writes it again at once, and without a wait if it could prove the lease within 3 s: any other would have waited for 5. Another daemon takes it over as before, after silence and with a wait, and so does one that finds none just after a new era. Tokens rise, as positions do.

The tests' store now has eras; the restarted holder reads its first revision.

--- a/rosemarypath/controllermanager.py
+++ b/rosemarypath/controllermanager.py
@@ -70,7 +70,7 @@
     async def _maintain_lease(self, state):
         leases = self._fleet.leases
         if leases.should_acquire(state.name, now(), lease_now()):
-            is_acquired = await leases.acquire(state.name)
+            is_acquired = await leases.acquire(state.name, lease_now())
             self._log.write(
                 "orders",
                 "holder" if is_acquired else "holder_conflict",
--- a/rosemarypath/engineleases.py
+++ b/rosemarypath/engineleases.py
@@ -9,6 +9,10 @@
 Another daemon acquires the lease only after it received no heartbeat of the holder for
 longer than the holder relies on an acknowledgement, and waits for the lease time before
 its first order.
+
+A store that comes back from an older copy has the leases of an earlier time. A lease
+names the era in which it was written, and one of an earlier era gives no right: its
+last holder writes it again, or another daemon acquires it once that one is silent.
 """
 
 from dataclasses import dataclass
@@ -19,12 +23,17 @@
     StoreUnavailableError,
 )
 from rosemarypath.hashing import rendezvous_order
+from rosemarypath.stored import era_of, position, revision_of
 
 __all__ = ["LEASE_KIND", "EngineLease", "EngineLeases"]
 
 LEASE_KIND = "rosemarypath-holders"
 CONFIRMATION_SECONDS = 1.5  # for which a read of the store proves the leases
 LEASE_MARGIN_SECONDS = 2.0  # beyond the lease time, for orders confirmed just before
+# After its last order's token, a holder may go on in a new era without a wait. Another
+# one would have waited longer before its own first order.
+RENEWAL_SECONDS = 3.0
+UNKNOWN_HOLDER = "?"  # of a lease that the store may have lost
 
 
 @dataclass(frozen=True)
@@ -71,17 +80,31 @@
         self.lease_seconds = lease_seconds
         self._usable_from = {}
         self._confirmed_at = float("-inf")
+        self._valid_leases = {}
+        self._proven_at = {}
+        self._era = None
+        self._era_seen_at = float("-inf")
 
     def find(self, engine):
-        """Return the `EngineLease` of `engine`, or ``None``."""
+        """Return the `EngineLease` of `engine` in the present era, or ``None``."""
+        lease, era = self._stored_lease(engine)
+        if lease is None or era != era_of(lease.fencing_token):
+            return None
+        self._valid_leases[engine] = lease
+        return lease
+
+    def _stored_lease(self, engine):
+        """Return the lease in the store and the era of its writing, or ``None``s."""
         stored = self._mirror.objects.get(engine)
         if stored is None or not isinstance(stored.spec, dict):
-            return None
+            return None, None
         spec = stored.spec
         machine = spec.get("machine")
         if not isinstance(machine, str):
-            return None
-        return EngineLease(machine, stored.version, spec.get("before") or "")
+            return None, None
+        lease = EngineLease(machine, stored.version, spec.get("before") or "")
+        era = spec.get("era", 0)
+        return lease, era if isinstance(era, int) else 0
 
     def is_own(self, engine):
         """Return whether this daemon holds the lease of `engine`."""
@@ -101,6 +124,7 @@
                 return 0
         if not self._is_confirmed(lease_now):
             return 0
+        self._proven_at[engine] = lease_now
         return lease.fencing_token
 
     async def confirm(self, lease_now):
@@ -131,7 +155,13 @@
         """Return whether this daemon should acquire the lease of `engine`."""
         if not self._mirror.is_known:
             return False
+        self._note_era(lease_now)
         lease = self.find(engine)
+        if lease is None:
+            last = self._last_lease(engine)
+            if last is not None and last.machine == self._machine:
+                return True
+            lease = last
         alive_names = self._peers.alive_names(now)
         first = rendezvous_order(engine, alive_names)[0]
         if first != self._machine:
@@ -142,6 +172,27 @@
             return False
         return self._peers.may_take_over_from(lease.machine, lease_now)
 
+    def _note_era(self, lease_now):
+        """Note when this daemon read the first leases of an era after the first."""
+        era = era_of(self._mirror.revision)
+        if era != self._era and (self._era is not None or self._has_former_era(era)):
+            self._era_seen_at = lease_now
+        self._era = era
+
+    def _has_former_era(self, era):
+        """Return whether another daemon has copies of an earlier era."""
+        known = [p.revisions.get(LEASE_KIND, 0) for p in self._peers.by_name.values()]
+        return any(revision and era_of(revision) < era for revision in known)
+
+    def _last_lease(self, engine):
+        """Return the last lease of an earlier era that is known, or ``None``."""
+        known = self._valid_leases.get(engine)
+        stored, era = self._stored_lease(engine)
+        if known is None or stored is None:
+            return known or stored
+        written_at = position(era, revision_of(stored.fencing_token))
+        return known if known.fencing_token >= written_at else stored
+
     def should_clear_previous(self, engine, lease_now):
         """Return whether the previous holder can be cleared from the lease."""
         lease = self.find(engine)
@@ -149,29 +200,51 @@
             return False
         return self.fencing_token(engine, lease_now) != 0
 
-    async def acquire(self, engine):
+    async def acquire(self, engine, lease_now):
         """Store this daemon as the lease holder; return whether that succeeded."""
-        lease = self.find(engine)
+        kept = self._mirror.objects.get(engine)
+        spec = self._spec(self._holder_before(engine, lease_now))
         try:
-            if lease is None:
-                spec = {"machine": self._machine, "before": ""}
+            if kept is None:
                 stored = await self._store.create(LEASE_KIND, engine, spec)
             else:
-                spec = {"machine": self._machine, "before": lease.machine}
                 stored = await self._store.update(
-                    LEASE_KIND, engine, spec, lease.fencing_token
+                    LEASE_KIND, engine, spec, kept.version
                 )
         except (ConflictError, NotFoundError):
             self._confirmed_at = float("-inf")
             return False
+        if era_of(stored.version) != spec["era"]:
+            # It was written in an era that this daemon has not read yet.
+            return False
         self._usable_from.pop(engine, None)
         self._mirror.record_own_write(stored)
         return True
 
+    def _holder_before(self, engine, lease_now):
+        """Return whose orders may still arrive, empty if nobody's but the own ones."""
+        lease = self.find(engine)
+        if lease is not None:
+            return lease.machine
+        last = self._last_lease(engine)
+        if last is None:
+            lost_until = self._era_seen_at + self.lease_seconds + LEASE_MARGIN_SECONDS
+            return UNKNOWN_HOLDER if lease_now < lost_until else ""
+        proven_at = self._proven_at.get(engine, float("-inf"))
+        is_own = last.machine == self._machine and not last.previous
+        if is_own and lease_now - proven_at < RENEWAL_SECONDS:
+            return ""
+        return last.machine
+
+    def _spec(self, before):
+        """Return the content of a lease of this daemon."""
+        era = era_of(self._mirror.newest_revision)
+        return {"machine": self._machine, "before": before, "era": era}
+
     async def clear_previous(self, engine):
         """Clear the previous holder, whose orders have ended."""
         lease = self.find(engine)
-        spec = {"machine": self._machine, "before": ""}
+        spec = self._spec("")
         try:
             stored = await self._store.update(
                 LEASE_KIND, engine, spec, lease.fencing_token
--- a/tests/test_engineleases.py
+++ b/tests/test_engineleases.py
@@ -18,7 +18,7 @@
 from rosemarypath.mirror import Mirror
 from rosemarypath.peermessages import PeerState
 from rosemarypath.peers import Peers
-from rosemarypath.stored import StoredObject
+from rosemarypath.stored import StoredObject, era_of, position, revision_of
 
 LEASE = 3.0
 
@@ -28,9 +28,26 @@
 
     def __init__(self):
         self.objects = {}
-        self.revision = 1
+        self.revision = position(1, 1)
         self.is_down = False
         self.refused = set()
+        self._copies = [(0.0, {}, self.revision)]
+
+    def copy(self, now):
+        """Keep a copy, for `restore`."""
+        self._copies.append((now, dict(self.objects), self.revision))
+
+    def restore(self, now, age):
+        """Come back with the newest copy that is `age` seconds old, or the first."""
+        older = [copy for copy in self._copies if copy[0] <= now - age]
+        _, objects, revision = older[-1] if older else self._copies[0]
+        era = era_of(self.revision) + 1
+        self.revision = position(era, revision_of(revision))
+        self.objects = {
+            name: StoredObject(name, position(era, revision_of(o.version)), o.spec)
+            for name, o in objects.items()
+        }
+        self._copies = [(now, dict(self.objects), self.revision)]
 
     def for_machine(self, name):
         return _Access(self, name)
@@ -85,9 +102,21 @@
         self.peers = Peers(machine(name), now, now)
         self.peers.set_machines([machine(other) for other in names], now, now)
         self.mirror = Mirror(LEASE_KIND, lambda changed, removed: None)
+        self.store = store
         access = store.for_machine(name)
         self.leases = EngineLeases(name, self.peers, access, self.mirror, LEASE)
 
+    async def step(self, now):
+        """Read the store, acquire the lease of the engine and confirm it."""
+        if not self.store.is_down and self.name not in self.store.refused:
+            self.mirror.replace(list(self.store.objects.values()), self.store.revision)
+            if self.leases.should_acquire("engine", now, now):
+                try:
+                    await self.leases.acquire("engine", now)
+                except StoreUnavailableError:
+                    pass
+        await self.leases.confirm(now)
+
     def next_heartbeat(self, now):
         self.number = self.peers.next_heartbeat_number(now)
         return self.number
@@ -107,8 +136,13 @@
         self.peers.record_heartbeat(f"{other.name}/1", state, now, now)
 
 
-def play(seed, seconds=25.0):
-    """Simulate random cuts and outages; return orders as (time, machine, fence)."""
+def play(seed, seconds=25.0, drill_chance=0.0):
+    """
+    Simulate random cuts and outages; return orders as (time, machine, fence).
+
+    In each tenth of a second the store comes back from an older copy with the
+    probability `drill_chance`.
+    """
     rng = random.Random(seed)
     names = ["a", "b", "c", "d"]
     store = MemoryStore()
@@ -127,6 +161,10 @@
                 store.refused.symmetric_difference_update({rng.choice(names)})
             if rng.random() < 0.01:
                 store.is_down = not store.is_down
+            if drill_chance:
+                store.copy(now)
+                if rng.random() < drill_chance:
+                    store.restore(now, rng.uniform(0.0, 10.0))
             if rng.random() < 0.01:
                 frozen[rng.choice(names)] = now + rng.uniform(0.5, 6.0)
             awake = [n for n in nodes.values() if frozen.get(n.name, 0.0) <= now]
@@ -140,15 +178,7 @@
                 await step(node, now)
 
     async def step(node, now):
-        is_unavailable = store.is_down or node.name in store.refused
-        if not is_unavailable:
-            node.mirror.replace(list(store.objects.values()), store.revision)
-            if node.leases.should_acquire("engine", now, now):
-                try:
-                    await node.leases.acquire("engine")
-                except StoreUnavailableError:
-                    pass
-        await node.leases.confirm(now)
+        await node.step(now)
         fence = node.leases.fencing_token("engine", now)
         if fence:
             orders.append((now, node.name, fence))
@@ -167,6 +197,53 @@
             assert new > old
 
 
+@settings(max_examples=300, deadline=None)
+@given(st.integers(0, 2**32))
+def test_the_lease_never_changes_hands_early_when_an_older_copy_comes_back(seed):
+    orders = play(seed, seconds=40.0, drill_chance=0.01)
+    for (before, first, old), (after, second, new) in zip(orders, orders[1:]):
+        if first != second:
+            assert after - before >= LEASE
+            assert new > old
+
+
+@settings(max_examples=100, deadline=None)
+@given(st.integers(0, 2**32))
+def test_tokens_rise_through_an_older_copy(seed):
+    orders = play(seed, seconds=40.0, drill_chance=0.02)
+    fences = [fence for _, _, fence in orders]
+    assert fences == sorted(fences)
+
+
+@pytest.mark.parametrize("age", [0.5, 15.0])
+def test_a_holder_orders_again_soon_after_an_older_copy_came_back(age):
+    store = MemoryStore()
+    names = ["a", "b"]
+    nodes = [Node(name, names, store, 0.0) for name in names]
+    orders = []
+
+    async def run():
+        for tick in range(200):
+            now = tick * 0.1
+            store.copy(now)
+            if tick == 120:
+                store.restore(now, age)
+            for node in nodes:
+                node.next_heartbeat(now)
+            for node, other in (nodes, nodes[::-1]):
+                node.receive_heartbeat(other, now)
+            for node in nodes:
+                await node.step(now)
+                if node.leases.fencing_token("engine", now):
+                    orders.append((now, node.name))
+
+    asyncio.run(run())
+    assert len({name for _, name in orders}) == 1
+    times = [at for at, _ in orders]
+    assert max(b - a for a, b in zip(times, times[1:])) <= 0.5
+    assert times[-1] > 19.0
+
+
 def test_a_silent_holder_is_replaced():
     store = MemoryStore()
     names = ["a", "b"]
@@ -188,7 +265,7 @@
                 if tick >= 50 and node.name == first:
                     continue
                 if node.leases.should_acquire("engine", now, now):
-                    await node.leases.acquire("engine")
+                    await node.leases.acquire("engine", now)
                     first = first or node.name
                 await node.leases.confirm(now)
                 if node.leases.fencing_token("engine", now) and node.name != first:
@@ -205,8 +282,8 @@
     node = Node("a", ["a"], store, 0.0)
 
     async def run():
-        node.mirror.replace([], 1)
-        assert await node.leases.acquire("engine")
+        node.mirror.replace([], store.revision)
+        assert await node.leases.acquire("engine", 0.0)
         fence = node.leases.fencing_token("engine", 0.1)
         again = Node("a", ["a"], store, 10.0)
         again.mirror.replace(list(store.objects.values()), store.revision)
--- a/tests/test_leaseconfirmation.py
+++ b/tests/test_leaseconfirmation.py
@@ -105,7 +105,7 @@
         leases = daemon.leases
         if leases.should_acquire(ENGINE, self.now, self.now):
             try:
-                await leases.acquire(ENGINE)
+                await leases.acquire(ENGINE, self.now)
             except StoreUnavailableError:
                 pass
         await leases.confirm(self.now)
