Take an answer without an identifier on a kept connection for nobody's

Reported by other operators: a faulty replica wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran (REFUSED), or such a request ran at a second replica (TWICE).

It could happen here: an answer without an identifier and with a status from 300 counts for the request in flight. A connection that carried a refused request is not kept, so that only a refusal of an order or report, which share the connections, or one written by a replica by itself could come so. Such an answer is now taken only for the first request of a connection; else it is read and dropped like one to another request, and the connection is not kept.

Test: the replica runs the request and writes a refusal before its answer.

--- a/rosemarypath/demand.py
+++ b/rosemarypath/demand.py
@@ -91,6 +91,8 @@
 
     `matches_request`
         Whether it answers this request and not an earlier one on the connection.
+    `is_identified`
+        Whether it names the request that it answers.
     `is_signed`
         Whether it carries the back end's signature.
     `has_not_run`
@@ -104,6 +106,7 @@
     status: int
     headers: tuple
     matches_request: bool = True
+    is_identified: bool = True
     is_signed: bool = False
     has_not_run: bool = False
     is_other_back_end: bool = False
--- a/rosemarypath/httpclient.py
+++ b/rosemarypath/httpclient.py
@@ -103,6 +103,7 @@
         self._cannot_be_reused = False
         self._idle_limit = DEFAULT_IDLE_SECONDS
         self._method = b""
+        self._exchange_count = 0
         self.address = address
         self.idle_since = 0.0
 
@@ -132,6 +133,11 @@
         """Return whether the answer's head tells where its body ends."""
         return self._is_framed
 
+    @property
+    def is_first_exchange(self):
+        """Return whether no other request was sent before the present one."""
+        return self._exchange_count == 1
+
     @property
     def unread_bytes(self):
         """Return the number of received body bytes that were not read yet."""
@@ -167,6 +173,7 @@
         self._non_body_bytes = 0
         self._head = None
         self._in_exchange = True
+        self._exchange_count += 1
         self._is_complete = False
         self._is_framed = False
         if not self.is_open:
--- a/rosemarypath/platform/requests.py
+++ b/rosemarypath/platform/requests.py
@@ -135,6 +135,7 @@
         status=reply.status,
         headers=tuple(pair for pair in reply.headers if pair[0] not in not_forwarded),
         matches_request=matches_request,
+        is_identified=answered_id is not None,
         is_signed=SIGNATURE in values,
         has_not_run=has_not_run,
         is_other_back_end=reply.status == MISDIRECTED
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -133,7 +133,7 @@
             send.upstream.send(
                 self._encode_request(send),
                 context.request.method,
-                lambda reply: self._answer_head(send, reply).matches_request,
+                lambda reply: self._is_answer(send, reply),
             )
             async with asyncio.timeout(self._first_timeout(context, send.started)):
                 reply = await send.upstream.head()
@@ -175,6 +175,12 @@
         )
         return encode_request(request.method, request.path, headers, request.body)
 
+    def _is_answer(self, send, reply):
+        """Return whether a reply belongs to the request, not to an earlier one."""
+        head = self._answer_head(send, reply)
+        is_certain = head.is_identified or send.upstream.is_first_exchange
+        return head.matches_request and is_certain
+
     def _answer_head(self, send, reply):
         return self._dialect.decode_answer_head(
             reply, send.context.id, send.state.back_end
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -18,6 +18,7 @@
 
 EVENT_COUNT = 6
 EVENT_INTERVAL_SECONDS = 0.01
+TRICKLE_SECONDS = 0.2
 LOAD_SECONDS = 0.08
 PREFILL_SECONDS = 0.05
 RESTART_SECONDS = 0.4
@@ -55,10 +56,13 @@
     - `resets`: run the request and reset the connection
     - `truncates`: abort a stream in the middle of its third event
     - `strays`: send the response to another request first
+    - `refusals`: send a refusal without an identifier first, then the response
+    - `half_heads`: run the request, and close in the middle of the response's head
     - `extras`: send surplus bytes after the response
     - `unsigned`: omit the signature of the response
     - `hangs`: never answer
     - `mute_orders`: execute a management command after 0.5 s and never answer it
+    - `trickles`: send the beginning of an event byte by byte, without an end
     - `slow_events`: seconds between the events of a stream (not a count)
     - `unframed`: answer streams without length and chunks; the end of the connection
       ends them (not a count)
@@ -75,7 +79,10 @@
     errors: int = 0
     resets: int = 0
     truncates: int = 0
+    trickles: int = 0
     strays: int = 0
+    refusals: int = 0
+    half_heads: int = 0
     extras: int = 0
     unsigned: int = 0
     hangs: int = 0
@@ -309,6 +316,13 @@
         if self._consume_fault("strays"):
             other = [(b"X-Attempt-Id", b"other"), (b"X-Response-Signature", b"s")]
             connection.answer(200, other, b"for another")
+        if self._consume_fault("refusals"):
+            connection.answer(503, [(b"X-Not-Executed", b"1")])
+        if self._consume_fault("half_heads"):
+            connection.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Resp")
+            await asyncio.sleep(EVENT_INTERVAL_SECONDS)
+            connection.close()
+            return
         signed = list(base)
         if not self._consume_fault("unsigned"):
             signature = f"{self.name}.{attempt_id}".encode()
@@ -331,7 +345,12 @@
                 self._crash()
                 return
         connection.write_head(200, headers)
+        is_trickling = self._consume_fault("trickles")
         for number in range(first, EVENT_COUNT + 1):
+            if is_trickling and number == first + 2:
+                while True:
+                    connection.write(b"i")
+                    await asyncio.sleep(TRICKLE_SECONDS)
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             if is_truncated and number == first + 2:
                 connection.write(event[:7])
