--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,8 @@
 
 from pathlib import Path
 
+# Loaded here, as CPython 3.11 may fail to compile it below a deep call stack.
+import hypothesis.internal.conjecture.optimiser  # noqa: F401
 import pytest
 
 from bench.fleet import Fleet, FleetPlan
