End a stream that trickles bytes without ending an event

Reported by other operators: slow but sound streams were cut, and stalled ones that sent a byte now and then never ended. The second could happen here: the time-outs of the first event and between two events ran anew with each read, so that a byte in less than 1.2 s kept a stalled stream until its deadline; its caller got 6 s of nothing, and the request was not resumed elsewhere.

The time-out now runs from the last whole event. Sound streams with slow events keep the same time: it was never shorter than between two events.

Test: an engine sends a byte each 0.2 s in the third event; the stream broke at its deadline before, now it is resumed at the other engine and whole within 2 s.

--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -221,13 +221,15 @@
         context = send.context
         events = context.events
         events.drop_partial()
-        timeout = self._first_timeout(context, now())
         gap_timeout = (
             EVENT_GAP_TIMEOUT_SECONDS if context.route.can_resume else float("inf")
         )
+        # Bytes that end no event do not put it off.
+        event_due = now() + self._first_timeout(context, now())
         try:
             while True:
-                async with asyncio.timeout(min(context.remaining(now()), timeout)):
+                left = event_due - now()
+                async with asyncio.timeout(min(context.remaining(now()), left)):
                     data = await send.upstream.read()
                 if not data:
                     break
@@ -241,7 +243,7 @@
                 context.record_event(now())
                 if not send.has_first_event:
                     self._record_first_event(send)
-                    timeout = gap_timeout
+                event_due = now() + gap_timeout
                 self._write_stream(send, complete_events)
         except ResponseError as error:
             send.has_lost_connection = True
--- a/tests/test_faultyanswers.py
+++ b/tests/test_faultyanswers.py
@@ -89,3 +89,22 @@
         assert reply.body == b""
 
     play(scenario)
+
+
+def test_a_stream_that_trickles_without_ending_an_event_is_resumed_elsewhere():
+    async def scenario(fleet):
+        loop = asyncio.get_running_loop()
+        for engine in fleet.engines:
+            engine.faults.trickles = 1
+        fleet.engines[0].faults.trickles = 0
+        slowest = 0.0
+        for _ in range(4):
+            started = loop.time()
+            connection, head = await open_stream(fleet, b"/ask/x", deadline=6000)
+            assert head.status == 200
+            assert await connection.read_all() == WHOLE
+            slowest = max(slowest, loop.time() - started)
+        assert fleet.engines[1].faults.trickles == 0
+        assert slowest <= TRICKLE_BOUND_SECONDS
+
+    play(scenario)
