Do not let a limit grow younger as daemons tell it to each other

Callers would have been kept from a back end that is well again until its next answer. A report of the limit that is known changes nothing now; own answers date it.

Test: two daemons exchange a limit for 6 s with 50 ms on the way; the end that one of them learns held in neither before. The names of limited back ends are looked up only if there is a limit at all.

--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -161,6 +161,12 @@
             state.says_it_leaves = True
             self._log_request_of(state, "leaving")
 
+    def limited_names(self, states):
+        """Return the names of the back ends of `states` that have a limit."""
+        if self.rate_limits.is_empty:
+            return frozenset()
+        return frozenset(state.name for state in states if self.has_limit(state))
+
     def _merge_limits(self, source, limits, now):
         for back_end in self.rate_limits.merge(source, limits, now):
             self._log_limit(back_end)
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -172,7 +172,7 @@
             load_failures=self._fleet.recent_load_failures(at),
             cold_rate_limits=self._fleet.cold_rate_limits(states, at),
             load_patience=context.load_patience,
-            limited=frozenset(s.name for s in states if self._fleet.has_limit(s)),
+            limited=self._fleet.limited_names(states),
         )
         return choose_back_end(states, demand, facts, at)
 
--- a/rosemarypath/scheduling/ratelimits.py
+++ b/rosemarypath/scheduling/ratelimits.py
@@ -88,6 +88,11 @@
         self._peer_counts = {}
         self._limiters = {}
 
+    @property
+    def is_empty(self):
+        """Return whether no limit is known, nor the end of one."""
+        return not self._limits
+
     def rate(self, back_end):
         """Return the limit in requests per second, infinite if there is none."""
         return self._limits.get(back_end, (inf, -inf))[0]
@@ -143,6 +148,9 @@
 
     def merge_limit(self, back_end, rate, age, now):
         """Add a limit that another daemon reported; return whether it is another."""
+        # A report that comes back would make the same limit younger by its way.
+        if back_end in self._limits and rate == self.rate(back_end):
+            return False
         return self._set_limit(back_end, rate, now - max(0.0, age))
 
     def take(self, back_end, share, now):
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -214,6 +214,20 @@
     assert ENGINE not in limits.report(3.1 + ENDED_SECONDS)
 
 
+def test_a_limit_does_not_grow_younger_as_daemons_tell_it_to_each_other():
+    first, second = RateLimits(), RateLimits()
+    first.record_answer(ENGINE, 2.0, 1.0, 1.0)
+    now = 1.0
+    for _ in range(60):
+        for sender, receiver in ((first, second), (second, first)):
+            report = sender.report(now)
+            now += 0.05  # on the way
+            receiver.merge("peer", report, now)
+    second.record_answer(ENGINE, inf, sent_at=2.0, now=now)
+    first.merge("peer", second.report(now), now)
+    assert first.rate(ENGINE) == second.rate(ENGINE) == inf
+
+
 def test_limits_are_bounded():
     limits = RateLimits()
     for number in range(3 * MAX_LIMITS):
