Wait for the end of the last pause in its test, and share how tests send requests

test_back_ends_that_ask_for_a_pause_get_no_requests_in_it failed once beside a load of 20, and in 16 of 42 runs when 14 ran at once. Traced: the test's sender, slowed by the load, still sent at 3.51 s, after the pause of 3.5 s had ended; the replica rightly got that request and asked for 3.5 s more, while the test expected answers from 4.0 s on. The pause is 4.5 s now, with requests for 3.5 s, and the test waits from the last request.

--- a/tests/edgefleet.py
+++ b/tests/edgefleet.py
@@ -189,6 +189,23 @@
         finally:
             connection.abort()
 
+    def requests_for(self, kind):
+        """Return the options of `call` for an ``engine`` or ``service``, and these."""
+        if kind == "engine":
+            options = {"path": b"/ask/x", "method": b"POST", "adapter": "a1"}
+            return options, self.engines
+        return {"path": b"/read/x"}, self.ledgers
+
+    async def call_often(self, seconds, per_second=14.0, **options):
+        """Send requests through all daemons in turn; return the replies."""
+        tasks = []
+        async with asyncio.TaskGroup() as group:
+            for number in range(round(seconds * per_second)):
+                call = self.call(daemon=number % len(self.daemons), **options)
+                tasks.append(group.create_task(call))
+                await asyncio.sleep(1.0 / per_second)
+        return [task.result() for task in tasks]
+
     def headers(self, id="", key=KEY, adapter="", deadline=3000, tokens="", **more):
         """Return a caller's headers."""
         pairs = [(b"Host", HOST.encode())]
--- a/tests/test_feedback.py
+++ b/tests/test_feedback.py
@@ -14,9 +14,9 @@
 from rosemarypath.httpclient import Reply
 from rosemarypath.platform.feedback import decode_feedback
 from tests.edgefleet import running_fleet
-from tests.test_ratelimits import call_often
 
 BACK_END = BackEnd(name="i-1", address="h:1", zone="z", kind="engine", serves="s")
+PAUSE_SECONDS = 4.5
 PAUSE_SLACK_SECONDS = 0.5  # after the answer, from which on a pause has to hold
 PAUSE_SLACK_REQUESTS = 2  # in the rest of a pause, from one machine
 
@@ -34,17 +34,12 @@
 @pytest.mark.parametrize("kind", ["engine", "service"])
 def test_a_back_end_that_says_it_leaves_gets_no_more_requests(kind):
     async def scenario(fleet, clock):
-        if kind == "engine":
-            options = {"path": b"/ask/x", "method": b"POST", "adapter": "a1"}
-            replicas = fleet.engines
-        else:
-            options = {"path": b"/read/x"}
-            replicas = fleet.ledgers
-        await call_often(fleet, 1.0, **options)
+        options, replicas = fleet.requests_for(kind)
+        await fleet.call_often(1.0, **options)
         leaving = max(replicas, key=lambda replica: len(replica.requests))
         leaving.faults.is_leaving = True
         told_at = clock()
-        replies = await call_often(fleet, 4.0, **options)
+        replies = await fleet.call_often(4.0, **options)
         last = max(request.received_at for request in leaving.requests)
         assert last <= told_at + fleet.settings[0].drain
         assert {reply.status for reply in replies} == {200}
@@ -55,17 +50,18 @@
 def test_back_ends_that_ask_for_a_pause_get_no_requests_in_it():
     async def scenario(fleet, clock):
         for ledger in fleet.ledgers:
-            ledger.faults.pause_seconds = "3.5"
+            ledger.faults.pause_seconds = str(PAUSE_SECONDS)
             ledger.faults.sheds = 1000
-        await call_often(fleet, 3.5, path=b"/read/x")
+        await fleet.call_often(3.5, path=b"/read/x")
         for ledger in fleet.ledgers:
             arrivals = [request.received_at for request in ledger.requests]
             ages = [at - arrivals[0] for at in arrivals]
-            during = [age for age in ages if PAUSE_SLACK_SECONDS < age < 3.5]
+            during = [age for age in ages if PAUSE_SLACK_SECONDS < age < PAUSE_SECONDS]
             assert len(during) <= PAUSE_SLACK_REQUESTS
             ledger.faults.sheds = 0
-        await asyncio.sleep(0.5)
-        replies = await call_often(fleet, 1.0, path=b"/read/x")
+        last = max(ledger.requests[-1].received_at for ledger in fleet.ledgers)
+        await asyncio.sleep(last + PAUSE_SECONDS + 0.2 - clock())
+        replies = await fleet.call_often(1.0, path=b"/read/x")
         assert {reply.status for reply in replies} == {200}
 
     play(scenario, daemons=1)
@@ -77,7 +73,7 @@
             ledger.faults.pause_seconds = "2"
             ledger.faults.sheds = 1000
         asked_at = clock()
-        await call_often(fleet, 0.5, path=b"/read/x")
+        await fleet.call_often(0.5, path=b"/read/x")
         reply = await fleet.call(b"/read/x")
         left = asked_at + 2.0 - clock()
         assert reply.status == 503
