Add a failing test of a customer far above its rate in a large fleet

Cause, from the lines 'entry: admitted' of all machines: a customer at eight times its rate is granted nothing for 2 s, then 630,000 tokens within half a second. All 61 daemons pay the last pulse back, are above zero at the same time, and spend the same tokens until they hear of each other, up to 0.6 s later; a window that ends in a pulse holds what is paid back after it.

The test plays 61 daemons that hear each other after 0.6 s: 1,336,800 tokens, 1,234,700 allowed.

--- a/tests/test_tokenbuckets.py
+++ b/tests/test_tokenbuckets.py
@@ -17,18 +17,20 @@
 )
 
 
-def grants(daemons, lag, seconds, offered, rng, parts=None):
+def grants(
+    daemons, lag, seconds, offered, rng, parts=None, customer=CUSTOMER, tokens=100
+):
     """Simulate daemons that report every `lag` seconds; return (time, tokens)."""
     budgets = [BudgetBuckets() for _ in range(daemons)]
     for budget in budgets:
-        budget.add_customers([CUSTOMER], 1.0, -20.0)
+        budget.add_customers([customer], 1.0, -20.0)
     parts = parts or [list(range(daemons))]
     part_of = {d: part for part in parts for d in part}
     granted = []
     reported_at = 0.0
     now = 0.0
     while now < seconds:
-        now += rng.expovariate(offered / 100.0)
+        now += rng.expovariate(offered / tokens)
         if now - reported_at >= lag:
             reported_at = now
             for sender in range(daemons):
@@ -38,8 +40,8 @@
                         budgets[receiver].record_peer(f"d{sender}", spent, now)
         daemon = rng.randrange(daemons)
         share = len(part_of[daemon]) / daemons
-        if budgets[daemon].take(CUSTOMER, 100, share, now) == 0.0:
-            granted.append((now, 100))
+        if budgets[daemon].take(customer, tokens, share, now) == 0.0:
+            granted.append((now, tokens))
     return granted
 
 
@@ -121,3 +123,13 @@
     budget.record_peer("d1/1", {"c": 100}, 10.0)
     budget.record_peer("d1/1", {"c": 1500}, 10.2)
     assert budget.take(CUSTOMER, 900, 1.0, 10.2) > 0.0
+
+
+def test_a_customer_far_above_its_rate_in_a_large_fleet_stays_within_the_limit():
+    budget = Budget(rate=123_000.0, burst=123_000.0, counts_tokens=True)
+    customer = Contract(name="c", budget=budget)
+    granted = grants(
+        61, 0.6, 20.0, 900_000.0, random.Random(1), customer=customer, tokens=2400
+    )
+    limit = (8 * budget.rate + budget.burst) * 1.1 + 17_000
+    assert worst_window(granted, 8.0) <= limit
