--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -156,10 +156,10 @@
             self._log_limit(name)
         if feedback.pause_seconds > 0.0:
             state.close(now + feedback.pause_seconds)
-            self._log_request_of(state, "paused", seconds=feedback.pause_seconds)
+            self._log_feedback(state, "paused", seconds=feedback.pause_seconds)
         if feedback.is_leaving and not state.says_it_leaves:
             state.says_it_leaves = True
-            self._log_request_of(state, "leaving")
+            self._log_feedback(state, "leaving")
 
     def limited_names(self, states):
         """Return the names of the back ends of `states` that have a limit."""
@@ -176,7 +176,7 @@
         event = "ended" if rate == inf else "limited"
         self._log.write("limits", event, back_end=back_end, rate=rate)
 
-    def _log_request_of(self, state, event, **fields):
+    def _log_feedback(self, state, event, **fields):
         self._log.write("limits", event, back_end=state.incarnation, **fields)
 
     def has_limit(self, state):
