Keep the answer of a silent back end until another one can take over

On lost-change two reads got 502 after 0.7 s of silence, again after one send. 18 of the streams that reached their deadline had been silent for 0.9 to 1.2 s before and went on.

Cause: silence was judged like a broken connection. The time-out dropped the answer first and asked for a retry afterwards; with no other engine, no adapter there, or the retry budget used up, nothing was left of the request. Class: giving up a right before its replacement is certain.

Ruled out: that a shorter time-out or a larger budget helps (the engines were all slow, so that each retry met the next silence); that these requests had reached their time limit (3.6 to 8.4 s of 12 s).

Now the answer is awaited on while the retry is prepared: another back end is chosen, its adapter loaded, and the retry withdrawn from the budget; only then is the silent connection dropped. What arrives meanwhile is passed on. A line "send: waiting" tells that a back end fell silent.

Tests: tests/test_sending.py. Before the change six of its eight cases failed (502, or a stream cut after its second event); the two about resuming at another engine passed, and still do.

--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -44,7 +44,15 @@
         self._dialect = dialect
         self._fleet = fleet
         self._admission = admission
-        self._sender = Sender(dialect, pool, fleet, log, metrics)
+        self._sender = Sender(
+            dialect,
+            pool,
+            fleet,
+            log,
+            metrics,
+            self._prepare_retry,
+            self._withdraw_retry,
+        )
         self._log = log
         self._metrics = metrics
 
@@ -157,7 +165,30 @@
             return Unknown(502, outcome.code, outcome.message)
         return outcome
 
-    def _choose_back_end(self, context, at):
+    async def _prepare_retry(self, context):
+        """
+        Return whether another back end can take over from the one that has the request.
+
+        If it has to load the adapter first, that is done here.
+        """
+        if context.sends >= MAX_SENDS:
+            return False
+        if self._fleet.quarantine.verdict(context.demand.shared_parts, now()).is_held:
+            return False
+        silent = context.excluded_after_failure(context.tried[-1])
+        choice = self._choose_back_end(context, now(), silent)
+        if isinstance(choice, Refusal):
+            return False
+        if not choice.needs_load:
+            return True
+        return await self._load_adapter(context, choice.state)
+
+    def _withdraw_retry(self, context):
+        """Withdraw a retry for the next send; return whether there was one."""
+        context.has_retry = self._fleet.withdraw_retry(context.service, now())
+        return context.has_retry
+
+    def _choose_back_end(self, context, at, excluded=frozenset()):
         demand = context.demand
         states = self._fleet.usable_states(context.service, at)
         version, learned_at = self._fleet.version_of(demand.adapter_key)
@@ -166,7 +197,7 @@
             version=version,
             version_age=at - learned_at,
             version_grace=self._fleet.version_grace,
-            excluded=self._excluded_back_ends(context, states),
+            excluded=self._excluded_back_ends(context, states) | excluded,
             load_blocked=self._fleet.load_blocked_engines(states, at)
             | context.load_blocked,
             load_failures=self._fleet.recent_load_failures(at),
@@ -206,6 +237,7 @@
             why=outcome.reason,
             seconds=round(now() - started, 4),
         )
+        return outcome.is_loaded
 
     def _may_retry(self, context, outcome):
         if context.sends >= MAX_SENDS or context.remaining(now()) <= 0.0:
@@ -215,9 +247,10 @@
         # The request never reached a back end, so the retry budget does not apply.
         if isinstance(outcome, NotRun) and outcome.code in NOT_SENT:
             return True
-        if not self._fleet.withdraw_retry(context.service, now()):
+        if not context.has_retry and not self._withdraw_retry(context):
             self._metrics.count("retries.over_budget")
             return False
+        context.has_retry = False
         self._metrics.count("retries")
         return True
 
--- a/rosemarypath/requestcontext.py
+++ b/rosemarypath/requestcontext.py
@@ -49,6 +49,8 @@
         Times of the events passed on, and the longest gap in seconds.
     `priority`
         0 is the most urgent.
+    `has_retry`
+        Whether a retry was withdrawn from the budget for its next send.
     """
 
     request: object
@@ -74,6 +76,7 @@
     last_event_at: float = 0.0
     longest_gap: float = 0.0
     priority: int = 5
+    has_retry: bool = False
 
     @property
     def id(self):
@@ -85,6 +88,16 @@
         """Return ``failed`` if a back end's error answer was passed on, else ``""``."""
         return "failed" if self.failure and self.first_event_at is None else ""
 
+    def excluded_after_failure(self, name):
+        """
+        Return the names of the back ends that a failure at `name` excludes.
+
+        Its retry may go there again if the route allows no further back end.
+        """
+        if len(set(self.tried)) < self.route.attempts:
+            return frozenset({name})
+        return frozenset()
+
     def enter_stage(self, stage, name, at):
         """Record that it waits for `stage` since `at`, at the back end `name`."""
         self.stage = stage
@@ -133,7 +146,7 @@
     on the lease clock at which a send to a back end with a limit was granted, ``None``
     without a limit. `head` is the `AnswerHead`; `has_first_event` and `is_complete`
     tell how much of the answer came, `has_lost_connection` whether the connection ended
-    before it was complete.
+    before it was complete. `was_silent` tells whether a silence was logged.
     """
 
     context: object
@@ -147,3 +160,4 @@
     has_first_event: bool = False
     has_lost_connection: bool = False
     is_complete: bool = False
+    was_silent: bool = False
--- a/rosemarypath/scheduling/quarantine.py
+++ b/rosemarypath/scheduling/quarantine.py
@@ -44,6 +44,11 @@
     blocked_part: str = ""
     crashes: int = 0
 
+    @property
+    def is_held(self):
+        """Return whether the request must not be sent now."""
+        return bool(self.blocked_part) or self.seconds > 0.0
+
 
 CLEAR = Verdict()
 
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -16,10 +16,13 @@
 
 __all__ = ["WITHDRAWN", "Sender"]
 
+# After such a silence an idempotent request moves to another back end, if one can take
+# it over; else it stays, as a healthy back end may fall silent for a while and go on.
 FIRST_EVENT_TIMEOUT_SECONDS = 1.6  # callers leave a silent stream after about 2.4 s
-EVENT_GAP_TIMEOUT_SECONDS = 1.2  # between two events; then another engine resumes
+EVENT_GAP_TIMEOUT_SECONDS = 1.2  # between two events
 ANSWER_TIMEOUT_SHARE = 0.5  # of the remaining time, for an idempotent call
 MIN_ANSWER_TIMEOUT_SECONDS = 0.7  # a slow but healthy back end answers within this
+TAKEOVER_POLL_SECONDS = 0.1  # between two checks whether another back end can take over
 UNREACHABLE_WEIGHT = 2.0  # failures that a refused connection counts as
 MISDIRECTED_WEIGHT = 4.0  # the same where another back end has the address now
 REJECTED_WEIGHT = 0.5  # the same for a request that the back end rejected
@@ -46,9 +49,18 @@
         The `FleetView`.
     `log`, `metrics`
         The `DecisionLog` and the counters.
+    ``await prepare_retry(context)``
+        Returns whether another back end can take over a request at once, after its
+        adapter was loaded there.
+    ``withdraw_retry(context)``
+        Returns whether a retry could be withdrawn from the budget.
     """
 
-    def __init__(self, dialect, pool, fleet, log, metrics):
+    def __init__(
+        self, dialect, pool, fleet, log, metrics, prepare_retry, withdraw_retry
+    ):
+        self._prepare_retry = prepare_retry
+        self._withdraw_retry = withdraw_retry
         self._dialect = dialect
         self._pool = pool
         self._fleet = fleet
@@ -135,8 +147,8 @@
                 context.request.method,
                 lambda reply: self._is_answer(send, reply),
             )
-            async with asyncio.timeout(self._first_timeout(context, send.started)):
-                reply = await send.upstream.head()
+            due = send.started + self._first_timeout(context, send.started)
+            reply = await self._receive(send, send.upstream.head, due)
         except ResponseError as error:
             send.has_lost_connection = True
             return self._fail_unknown(send, "broken", error.message)
@@ -153,6 +165,53 @@
             return await self._answer_stream(send)
         return await self._answer_whole(send)
 
+    async def _receive(self, send, receive, due):
+        """
+        Return what ``await receive()`` returns.
+
+        Raises `TimeoutError` at the deadline, or after the time `due` as soon as
+        another back end can take the request over.
+        """
+        at = now()
+        left = min(due - at, send.context.remaining(at))
+        try:
+            async with asyncio.timeout(left):
+                return await receive()
+        except TimeoutError:
+            is_final = not send.context.route.is_idempotent
+            if is_final or send.context.remaining(now()) <= 0.0:
+                raise
+        return await self._receive_or_replace(send, receive)
+
+    async def _receive_or_replace(self, send, receive):
+        """Receive from a silent back end until another one can take over."""
+        context = send.context
+        self._log_silence(send)
+        receiving = asyncio.ensure_future(receive())
+        preparing = None
+        try:
+            while (left := context.remaining(now())) > 0.0:
+                preparing = asyncio.ensure_future(self._prepare_retry(context))
+                await asyncio.wait(
+                    {receiving, preparing},
+                    timeout=left,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if not receiving.done() and preparing.done() and preparing.result():
+                    if self._withdraw_retry(context):
+                        raise TimeoutError
+                await asyncio.wait(
+                    {receiving}, timeout=min(left, TAKEOVER_POLL_SECONDS)
+                )
+                if receiving.done():
+                    context.end_wait()
+                    return receiving.result()
+            raise TimeoutError
+        finally:
+            receiving.cancel()
+            if preparing is not None:
+                preparing.cancel()
+
     def _first_timeout(self, context, at):
         left = context.remaining(at)
         if not context.route.is_idempotent:
@@ -228,9 +287,7 @@
         event_due = now() + self._first_timeout(context, now())
         try:
             while True:
-                left = event_due - now()
-                async with asyncio.timeout(min(context.remaining(now()), left)):
-                    data = await send.upstream.read()
+                data = await self._receive(send, send.upstream.read, event_due)
                 if not data:
                     break
                 complete_events = events.feed(data)
@@ -305,10 +362,11 @@
 
     def _fail_unknown(self, send, reason, message):
         """Record a missing, incomplete or invalid answer; return an `Unknown`."""
-        send.state.record_failure(now())
+        context, state = send.context, send.state
+        state.record_failure(now())
         self._log_end(send, reason, message)
-        self._exclude_unless_last(send)
-        status = 504 if send.context.remaining(now()) <= 0.0 else 502
+        context.excluded |= context.excluded_after_failure(state.name)
+        status = 504 if context.remaining(now()) <= 0.0 else 502
         return Unknown(status, reason, message)
 
     def _fail_rejected(self, send):
@@ -323,7 +381,7 @@
             self._fleet.record_missing(state, context.demand.adapter_key)
         else:
             state.record_failure(now(), REJECTED_WEIGHT)
-            self._exclude_unless_last(send)
+            context.excluded |= context.excluded_after_failure(state.name)
         return NotRun(
             503,
             "rejected",
@@ -332,12 +390,21 @@
             True,
         )
 
-    @staticmethod
-    def _exclude_unless_last(send):
-        """Exclude the back end from retries, unless the route allows no further one."""
-        context = send.context
-        if len(set(context.tried)) < context.route.attempts:
-            context.excluded.add(send.state.name)
+    def _log_silence(self, send):
+        """Log, once a send, that the back end fell silent."""
+        if send.was_silent:
+            return
+        send.was_silent = True
+        self._metrics.count("silences")
+        self._log.write(
+            "send",
+            "waiting",
+            request=send.context.id,
+            back_end=send.state.name,
+            sends=send.context.sends,
+            events=send.context.events.event_count,
+            seconds=round(now() - send.started, 4),
+        )
 
     def _log_end(self, send, event, message):
         context = send.context
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -63,6 +63,9 @@
     - `hangs`: never answer
     - `mute_orders`: execute a management command after 0.5 s and never answer it
     - `trickles`: send the beginning of an event byte by byte, without an end
+    - `silences`: fall silent for `silent_seconds` before the third event of a stream,
+      or before a whole response, then go on
+    - `late_begins`: fall silent for `silent_seconds` before the first event
     - `slow_events`: seconds between the events of a stream (not a count)
     - `unframed`: answer streams without length and chunks; the end of the connection
       ends them (not a count)
@@ -80,6 +83,9 @@
     resets: int = 0
     truncates: int = 0
     trickles: int = 0
+    silences: int = 0
+    late_begins: int = 0
+    silent_seconds: float = 0.0
     strays: int = 0
     refusals: int = 0
     half_heads: int = 0
@@ -330,6 +336,8 @@
         if model:
             await self._stream(connection, signed, headers)
         else:
+            if self._consume_fault("silences"):
+                await asyncio.sleep(self.faults.silent_seconds)
             body = f"answer of {self.name} to {attempt_id}".encode()
             connection.answer(200, signed, body)
         if self._consume_fault("extras"):
@@ -344,13 +352,18 @@
             if self.faults.deadly_part in request_headers.get("x-prompt-prefix", ""):
                 self._crash()
                 return
+        if self._consume_fault("late_begins"):
+            await asyncio.sleep(self.faults.silent_seconds)
         connection.write_head(200, headers)
+        is_silent = self._consume_fault("silences")
         is_trickling = self._consume_fault("trickles")
         for number in range(first, EVENT_COUNT + 1):
             if is_trickling and number == first + 2:
                 while True:
                     connection.write(b"i")
                     await asyncio.sleep(TRICKLE_SECONDS)
+            if is_silent and number == first + 2:
+                await asyncio.sleep(self.faults.silent_seconds)
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             if is_truncated and number == first + 2:
                 connection.write(event[:7])
