Answer or refuse each request of a planned stop before its grace ends

What callers saw: requests under way half a second before the end of the grace, also those that may not be repeated, lost their connection with neither an answer nor a refusal. A daemon accepted new requests for 2.8 s after SIGTERM, whatever time they needed. An answer of which a part was still unsent was cut as soon as no other request was running.

Cause: `EdgeDaemon.stop` looked only at the time since SIGTERM, ended with `kill`, which aborts every connection, and took a connection for idle once its answer was written, sent or not.

A request is now accepted during a stop if its deadline lies in the grace, or if the recent durations of its route (0.95 quantile of 30 s) let it end in time; others are refused at once as not run. The bound of 2.8 s stays. At the end of the grace `Forwarder.end_requests` expires the requests under way: one that was never sent, or that all back ends rejected, is refused with 503; one that may have run gets a complete 502; an answer that has begun is broken off. A cancelled send counts as "may have run", as nothing is awaited between the pool's connection and the write. What has been written gets up to 0.25 s of the margin to be sent.

--- a/rosemarypath/admission.py
+++ b/rosemarypath/admission.py
@@ -11,13 +11,18 @@
 from rosemarypath.requestcontext import RequestContext
 from rosemarypath.sse import EventSplitter
 
-__all__ = ["Admission"]
+__all__ = ["Admission", "stopping_refusal"]
 
 DEADLINE_MARGIN_SECONDS = 0.02  # the final answer is due so long before it
 NO_CONFIGURATION_RETRY_SECONDS = 0.3  # a started daemon is configured by then
 STOPPING_RETRY_SECONDS = 0.05  # short, as other machines accept the request
 
 
+def stopping_refusal():
+    """Return the `NotRun` of a request that a stopping daemon doesn't run."""
+    return NotRun(503, "stopping", "this machine is stopping", STOPPING_RETRY_SECONDS)
+
+
 class Admission:
     """
     Admits requests.
@@ -28,13 +33,16 @@
         Decodes headers.
     `fleet`
         The `FleetView`: configuration and budgets.
+    `stop_window`
+        The `StopWindow`.
     `log`, `metrics`
         The `DecisionLog` and the counters.
     """
 
-    def __init__(self, dialect, fleet, log, metrics):
+    def __init__(self, dialect, fleet, stop_window, log, metrics):
         self._dialect = dialect
         self._fleet = fleet
+        self._stop_window = stop_window
         self._log = log
         self._metrics = metrics
 
@@ -48,10 +56,8 @@
                 "no configuration received yet",
                 NO_CONFIGURATION_RETRY_SECONDS,
             )
-        if self._fleet.refuses_new:
-            return NotRun(
-                503, "stopping", "this machine is stopping", STOPPING_RETRY_SECONDS
-            )
+        if self._stop_window.is_closed(now()):
+            return stopping_refusal()
         try:
             demand = self._dialect.decode_demand(request.headers)
         except BadRequestError as error:
@@ -66,9 +72,13 @@
             customer = table.find_customer(demand.key) if demand.key else None
             if customer is None:
                 return NotRun(401, "unknown_key", "unknown key")
-        return self._admit_with_budget(request, demand, route, customer)
+        seconds = min(demand.deadline, route.timeout) - DEADLINE_MARGIN_SECONDS
+        deadline = request.arrived + seconds
+        if not self._stop_window.accepts(route.name, deadline, now()):
+            return stopping_refusal()
+        return self._admit_with_budget(request, demand, route, customer, deadline)
 
-    def _admit_with_budget(self, request, demand, route, customer):
+    def _admit_with_budget(self, request, demand, route, customer, deadline):
         if customer is not None:
             refusal = self._take_budget(demand, customer)
             if refusal is not None:
@@ -79,9 +89,7 @@
             route,
             route.service_for(demand.request_id),
             customer,
-            request.arrived
-            + min(demand.deadline, route.timeout)
-            - DEADLINE_MARGIN_SECONDS,
+            deadline,
             events=EventSplitter(demand.last_event),
             priority=_priority(route, customer),
         )
@@ -113,6 +121,14 @@
             log_fields=facts,
         )
 
+    def record_duration(self, context, outcome):
+        """Record how long a request took that a back end began to run."""
+        if not context.sends or isinstance(outcome, NotRun):
+            return
+        at = now()
+        seconds = at - context.request.arrived
+        self._stop_window.record(context.route.name, seconds, at)
+
     def refund_if_not_run(self, context, outcome):
         """Refund the budget of a request that did not run."""
         if not isinstance(outcome, NotRun) or context.may_have_run:
--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -28,6 +28,7 @@
 from rosemarypath.platformsync import PlatformSync
 from rosemarypath.registration import Registration
 from rosemarypath.routing import IngressLimits
+from rosemarypath.scheduling.stopping import StopWindow
 from rosemarypath.storecache import StoreCache
 
 __all__ = ["EdgeDaemon"]
@@ -42,7 +43,8 @@
 # New requests are accepted for this long after SIGTERM. Requests that callers send 3 s
 # after SIGTERM or later must not be cut, so they are refused and never start.
 STOP_ACCEPT_SECONDS = 2.8
-STOP_MARGIN_SECONDS = 0.5  # time before SIGKILL at which the process exits by itself
+STOP_MARGIN_SECONDS = 0.5  # time before SIGKILL at which running requests are ended
+STOP_FLUSH_SECONDS = 0.25  # time for their answers to be sent before the process exits
 STOP_POLL_SECONDS = 0.05  # between two checks for requests that are still running
 
 
@@ -126,7 +128,10 @@
             self._log,
             self._spawn,
         )
-        admission = Admission(dialect, self._fleet, self._log, self._metrics)
+        self._stop_window = StopWindow()
+        admission = Admission(
+            dialect, self._fleet, self._stop_window, self._log, self._metrics
+        )
         self._forwarder = Forwarder(
             dialect, self._pool, self._fleet, admission, self._log, self._metrics
         )
@@ -200,17 +205,23 @@
         self._send_heartbeats()
         end = started + self._settings.stop_grace - STOP_MARGIN_SECONDS
         accept_until = min(end, started + STOP_ACCEPT_SECONDS)
-        while now() < end:
-            await asyncio.sleep(STOP_POLL_SECONDS)
-            if now() < accept_until:
-                continue
-            self._fleet.refuses_new = True
-            self._caller_listener.close_idle()
-            if self._caller_listener.is_idle:
-                break
-        self._log.write("daemon", "stop", idle=self._caller_listener.is_idle)
+        self._stop_window.begin(accept_until, end)
+        await asyncio.sleep(accept_until - now())
+        is_idle = await self._wait_until_idle(end)
+        ended = self._forwarder.end_requests()
+        self._log.write("daemon", "stop", idle=is_idle, ended=ended)
+        await self._wait_until_idle(now() + STOP_FLUSH_SECONDS)
         self.kill()
 
+    async def _wait_until_idle(self, end):
+        """Close idle connections until all are idle; return whether they are."""
+        listener = self._caller_listener
+        listener.close_idle()
+        while not listener.is_idle and now() < end:
+            await asyncio.sleep(STOP_POLL_SECONDS)
+            listener.close_idle()
+        return listener.is_idle
+
     def kill(self):
         """Close all connections and listeners and cancel all tasks immediately."""
         self._stopping.set()
--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -61,7 +61,6 @@
         self._load_failed_at = {}
         self.zone = settings.zone
         self.table = None
-        self.refuses_new = False
         self.back_ends = BackEnds()
         self.budgets = BudgetBuckets()
         self.quarantine = Quarantine()
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -7,6 +7,7 @@
 
 import asyncio
 
+from rosemarypath.admission import stopping_refusal
 from rosemarypath.clock import now
 from rosemarypath.outcome import NotRun, Unknown
 from rosemarypath.scheduling.choice import ChoiceFacts, Refusal, choose_back_end
@@ -55,6 +56,18 @@
         )
         self._log = log
         self._metrics = metrics
+        self._scopes = set()  # one `asyncio.Timeout` for each request under way
+
+    def end_requests(self):
+        """
+        End the requests under way with what is known of them; return their number.
+
+        One that was not sent, or that each back end rejected, is refused as not run.
+        """
+        loop = asyncio.get_running_loop()
+        for scope in self._scopes:
+            scope.reschedule(loop.time())
+        return len(self._scopes)
 
     async def handle(self, request, connection):
         """Answer one request on its caller's connection; raises no `Exception`."""
@@ -75,13 +88,15 @@
             request_id = self._dialect.request_id(request.headers)
             self._answer_outcome(request, connection, context, request_id)
             return
+        outcome = None
         try:
-            outcome = await self._try_back_ends(context, connection)
+            outcome = await self._run_until_stop(context, connection)
         except asyncio.CancelledError:
             self._log_disconnect(context)
             raise
         finally:
             context.end_wait()
+            self._admission.record_duration(context, outcome)
         failure = outcome.code if outcome else context.failure_code
         self._metrics.record_request(context, failure)
         if outcome is not None:
@@ -100,6 +115,20 @@
             events=context.events.event_count,
         )
 
+    async def _run_until_stop(self, context, connection):
+        """Try back ends until `end_requests` is called; return as `_try_back_ends`."""
+        scope = asyncio.timeout(None)
+        try:
+            async with scope:
+                self._scopes.add(scope)
+                return await self._try_back_ends(context, connection)
+        except TimeoutError:
+            if not scope.expired():
+                raise
+            return self._final_outcome(context, stopping_refusal(), connection)
+        finally:
+            self._scopes.discard(scope)
+
     async def _try_back_ends(self, context, connection):
         """Try back ends; return ``None`` after an answer was sent, else the outcome."""
         while True:
--- a/rosemarypath/listener.py
+++ b/rosemarypath/listener.py
@@ -83,6 +83,13 @@
         """Return whether the connection is still open."""
         return not self._transport.is_closing()
 
+    @property
+    def is_idle(self):
+        """Return whether no request is being read or answered, and all is sent."""
+        is_reading = self._request is not None or bool(self._requests)
+        has_unsent = self._transport.get_write_buffer_size() > 0
+        return not (self.is_busy or is_reading or has_unsent)
+
     # Called by the event loop.
 
     def connection_made(self, transport):
@@ -342,8 +349,8 @@
 
     @property
     def is_idle(self):
-        """Return whether no request is being answered."""
-        return not any(connection.is_busy for connection in self.connections)
+        """Return whether no request is being read or answered, and all is sent."""
+        return all(connection.is_idle for connection in self.connections)
 
     def close(self):
         """Stop accepting connections and drop the open ones."""
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -105,6 +105,9 @@
             if send.has_lost_connection and not send.has_first_event:
                 await self._record_crash(send)
             return outcome
+        except asyncio.CancelledError:
+            context.may_have_run = True
+            raise
         finally:
             if not send.is_complete:
                 send.upstream.abort()
--- a/tests/edgefleet.py
+++ b/tests/edgefleet.py
@@ -98,12 +98,14 @@
     """
     Some daemons before a store, two engines and two plain replicas.
 
-    All listen on loopback addresses of their own.
+    All listen on loopback addresses of their own. `options` are settings of the
+    daemons other than the usual ones.
     """
 
-    def __init__(self, daemons=1, tmp_path=None):
+    def __init__(self, daemons=1, **options):
         self._numbers = itertools.count(1)
         self._count = daemons
+        self._options = options
         self._sinks = []
         self.pool = ConnectionPool()
         self.store = PlatformStoreStandIn(f"127.0.0.1:{free_ports(1)[0]}")
@@ -246,14 +248,14 @@
             directory_address=ports[2],
             peers_address=ports[3],
             store_address=ports[4],
-            retry_slack=40.0,
+            **{"retry_slack": 40.0, **self._options},
         )
 
 
 @asynccontextmanager
-async def running_fleet(daemons=1):
-    """Run an `EdgeFleet` with so many daemons."""
-    fleet = EdgeFleet(daemons)
+async def running_fleet(daemons=1, **options):
+    """Run an `EdgeFleet` with so many daemons; `options` are settings of them."""
+    fleet = EdgeFleet(daemons, **options)
     try:
         await fleet.start()
         yield fleet
