Let an unreadable entry of the store cost only that entry

What callers saw (report of another operator): one odd entry among those of the replicas, very deeply nested or with a number too large, ended the daemons that read the list again and again, or they stopped following it.

Cause: a page of a list and the events of a watch were decoded as a whole. msgspec raises RecursionError, no DecodeError, for deep nesting; nothing caught it, so the watch's task and with it the daemon ended. For 1e400, NaN, half a surrogate pair or an integer of 5000 digits the whole page counted as no answer, each time, and the store as unavailable. Entries without metadata, name or revision raised KeyError and TypeError. Integers over 64 bits and nesting near the limit were taken, but cannot be sent to peers, so that the relay of the events failed.

Ruled out: msgspec.Raw for the items alone; it skips numbers out of range and text that is not UTF-8, but not deep nesting or NaN.

Now a page that msgspec refuses is read by the standard library's json, after values nested too deeply were cut out; each entry is then checked by itself. One that cannot be used keeps its name and version, has no content and counts as changed; a line "store: error" names it once for each fault. So the position advances, and pages go on after its name. An entry without a name is left out. A store's era of too many digits raised ValueError; it is unreadable.

--- a/rosemarypath/platform/store.py
+++ b/rosemarypath/platform/store.py
@@ -20,7 +20,15 @@
     StoreUnavailableError,
     VersionGoneError,
 )
-from rosemarypath.stored import StoredObject, era_of, position, revision_of
+from rosemarypath.log import get_logger
+from rosemarypath.platform.documents import decode_page, find_fault
+from rosemarypath.stored import (
+    ERA_SPAN,
+    StoredObject,
+    era_of,
+    position,
+    revision_of,
+)
 
 __all__ = ["PlatformStore"]
 
@@ -28,23 +36,62 @@
 WATCH_MARGIN_SECONDS = 0.4  # added to the wait of a watch before it times out
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
 ERA = b"store-era"
+MAX_ERA_DIGITS = 6  # a position of the era fits into 64 bits
 UNAVAILABLE_REMEDY = "check that the platform's store is up and reachable"
 
+_log = get_logger("store")
+
 
-def decode_object(document, era=0):
+def decode_object(document, start):
     """
     Return the `StoredObject` in an item of a list, in an event or in an answer.
 
-    `era` is the store's era in that answer.
+    `start` is the store's position in that answer. It stands for the object's version
+    if that is unreadable. Raises `ValueError` if the object's name is unreadable.
     """
-    metadata = document["metadata"]
+    metadata = document.get("metadata") if isinstance(document, dict) else None
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    if not isinstance(name, str) or not name:
+        raise ValueError("it has no name")
+    if not name.isascii() and find_fault(name):
+        raise ValueError("its name is unreadable")
     # "revision" is not counted per object: it is the store's counter at the object's
     # last change.
-    return StoredObject(
-        metadata["name"],
-        position(era, int(metadata["revision"])),
-        document.get("spec"),
-    )
+    revision = metadata.get("revision")
+    if not _is_revision(revision):
+        return StoredObject(name, start, None, fault="its revision is unreadable")
+    version = position(era_of(start), revision)
+    spec = document.get("spec")
+    fault = find_fault(spec)
+    return StoredObject(name, version, None if fault else spec, fault=fault)
+
+
+def _decode_event(event, start):
+    """Return the `StoredObject` in an event, and whether it was removed."""
+    if not isinstance(event, dict):
+        raise ValueError("it is no object")
+    stored = decode_object(event.get("object"), start)
+    is_removed = event.get("removed")
+    if not isinstance(is_removed, bool):
+        fault = "whether it was removed is unreadable"
+        return msgspec.structs.replace(stored, spec=None, fault=fault), False
+    return stored, is_removed
+
+
+def _is_revision(value):
+    return type(value) is int and 0 <= value < ERA_SPAN
+
+
+def _require(page, field, is_valid):
+    """Return a field of an answer; raises `ValueError` if it is not valid."""
+    value = page.get(field) if isinstance(page, dict) else None
+    if not is_valid(value):
+        raise ValueError(f"no readable {field}")
+    return value
+
+
+def _is_list(value):
+    return isinstance(value, list)
 
 
 class PlatformStore:
@@ -61,6 +108,7 @@
         self._pool = pool
         self._on_era = on_era
         self._era = 0
+        self._unnamed_kinds = set()
         self.calls = Counter()
         self.set_address(address)
 
@@ -82,18 +130,21 @@
             query = f"?after={quote(after, safe='')}" if after else ""
             page, era = await self._read(kind, f"/{kind}{query}")
             if start is None:
-                start = position(era, int(page["storeRevision"]))
+                start = self._position(page, kind, era)
             elif era_of(start) != era:
                 raise self._unavailable_error(f"list of {kind}: a new era began")
-            objects += [decode_object(item, era) for item in page["items"]]
+            items = self._decode_entries(page, kind, "items", decode_object, start)
+            objects += items
             if not page.get("hasMore") or not page["items"]:
                 return objects, start
-            after = objects[-1].name
+            if not items:
+                raise self._unavailable_error(f"list of {kind}: a page has no names")
+            after = items[-1].name
 
     async def get(self, kind, name):
         """Return one `StoredObject`; raises `NotFoundError`."""
         document, era = await self._read(kind, f"/{kind}/{quote(name, safe='')}")
-        return decode_object(document, era)
+        return self._decode_answer(document, era)
 
     async def watch(self, kind, since, seconds):
         """
@@ -109,11 +160,9 @@
         )
         if era != era_of(since):
             raise VersionGoneError(f"{kind}: a new era began", "list it anew")
-        events = [
-            (decode_object(event["object"], era), bool(event["removed"]))
-            for event in page["events"]
-        ]
-        return events, position(era, int(page["storeRevision"]))
+        reached = self._position(page, kind, era)
+        events = self._decode_entries(page, kind, "events", _decode_event, reached)
+        return events, reached
 
     async def create(self, kind, name, spec):
         """Create an object and return it; raises `ConflictError` if it exists."""
@@ -152,10 +201,44 @@
         answer, era = await self._call(
             method, kind, "write", path, body, CALL_TIMEOUT_SECONDS
         )
+        return self._decode_answer(answer, era)
+
+    def _decode_answer(self, answer, era):
+        """Return the object in an answer that has only one."""
+        try:
+            stored = decode_object(answer, position(era, 0))
+        except ValueError as error:
+            raise self._unavailable_error(f"unreadable answer ({error})") from error
+        if stored.fault:
+            raise self._unavailable_error(f"unreadable answer ({stored.fault})")
+        return stored
+
+    def _position(self, page, kind, era):
+        """Return the store's position in a list or watch."""
+        try:
+            return position(era, _require(page, "storeRevision", _is_revision))
+        except ValueError as error:
+            raise self._unavailable_error(f"list of {kind}: {error}") from error
+
+    def _decode_entries(self, page, kind, field, decode, start):
+        """Decode the entries of a list or watch, without those that have no name."""
         try:
-            return decode_object(answer, era)
-        except (KeyError, TypeError, ValueError) as error:
-            raise self._unavailable_error(f"unreadable answer ({error!r})") from error
+            entries = _require(page, field, _is_list)
+        except ValueError as error:
+            raise self._unavailable_error(f"list of {kind}: {error}") from error
+        decoded = []
+        for entry in entries:
+            try:
+                decoded.append(decode(entry, start))
+            except ValueError as error:
+                self._log_unnamed(kind, error)
+        return decoded
+
+    def _log_unnamed(self, kind, error):
+        """Log once for each kind that an entry without a name was left out."""
+        if kind not in self._unnamed_kinds:
+            self._unnamed_kinds.add(kind)
+            _log.warning("leaving out an entry of {}: {}", kind, error)
 
     def _check_era(self, kind, version):
         """Raise `ConflictError` if a `version` is of an earlier era."""
@@ -190,7 +273,7 @@
         if value is None:
             return self._era
         known = self._era
-        if not value.isdigit():
+        if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
             self._on_era(None, known)
             return known
         era = int(value)
@@ -213,7 +296,7 @@
         if reply.status >= 300:
             raise self._unavailable_error(f"{verb} of {kind} answered {reply.status}")
         try:
-            return msgspec.json.decode(reply.body) if reply.body else {}
+            return decode_page(reply.body) if reply.body else {}
         except msgspec.DecodeError as error:
             raise self._unavailable_error(f"{verb} of {kind}: {error}") from error
 
--- a/rosemarypath/storecache.py
+++ b/rosemarypath/storecache.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from rosemarypath.clock import lease_now, now
+from rosemarypath.faultlog import FaultLog
 from rosemarypath.mirror import (
     PROBE_SECONDS,
     WATCH_SECONDS,
@@ -127,7 +128,15 @@
 
     def add(self, kind, on_change, outranks=None):
         """Add a `Mirror` of `kind` and return it."""
-        mirror = self._mirrors[kind] = Mirror(kind, on_change, outranks)
+        faults = FaultLog(self._log, "store")
+
+        def log_and_pass_on(changed, removed):
+            for name in changed:
+                faults.update(name, mirror.objects[name].fault, kind=kind)
+            faults.forget(removed)
+            on_change(changed, removed)
+
+        mirror = self._mirrors[kind] = Mirror(kind, log_and_pass_on, outranks)
         return mirror
 
     def settle(self, now):
--- a/rosemarypath/stored.py
+++ b/rosemarypath/stored.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-__all__ = ["StoredObject", "era_of", "position", "revision_of"]
+__all__ = ["ERA_SPAN", "StoredObject", "era_of", "position", "revision_of"]
 
 ERA_SPAN = 2**40  # more than the revisions of one era
 
@@ -40,10 +40,12 @@
     One version of an object in the store.
 
     `version` is the position of its last change, `spec` the decoded content, `writer`
-    the token of the write that made this version.
+    the token of the write that made this version. `fault` tells why the object is
+    unreadable, in which case `spec` is ``None``.
     """
 
     name: str
     version: int
     spec: object
     writer: str = ""
+    fault: str = ""
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -88,6 +88,10 @@
         self._record_event(kind, document, False)
         return document
 
+    def put_raw(self, kind, name, text):
+        """Write an object of another writer, whose spec is the JSON text `text`."""
+        return self.put(kind, name, msgspec.Raw(text))
+
     def remove(self, kind, name):
         """Remove an object if it exists."""
         document = self._kinds.get(kind, {}).pop(name, None)
--- a/tests/test_storecache.py
+++ b/tests/test_storecache.py
@@ -37,10 +37,13 @@
 
 
 class Log:
-    """Stands in for a `DecisionLog`."""
+    """Stands in for a `DecisionLog`; keeps the lines."""
+
+    def __init__(self):
+        self.lines = []
 
     def write(self, part, event, **fields):
-        """Discard the line."""
+        self.lines.append((part, event, fields))
 
 
 class Mesh:
@@ -88,7 +91,8 @@
         peers = Peers(own, 0.0, 0.0)
         peers.set_machines([other], 0.0, 0.0)
         self.mesh = Mesh()
-        self.cache = StoreCache(store, peers, self.mesh, 1.2, Log(), "servers", "l")
+        self.log = Log()
+        self.cache = StoreCache(store, peers, self.mesh, 1.2, self.log, "servers", "l")
         self.copy = self.cache.add(KIND, lambda changed, removed: None)
 
     def receive(self, message):
@@ -211,6 +215,21 @@
     assert served.copy.revision == 1
 
 
+def test_an_unreadable_entry_is_named_once_for_each_fault():
+    daemon = Daemon("m0", None)
+
+    def written(revision, fault):
+        stored = StoredObject("odd", revision, None, fault=fault)
+        daemon.copy.apply([(stored, False)], revision)
+
+    for revision, fault in enumerate(["deep", "deep", "", "deep", "wide"], 2):
+        written(revision, fault)
+    daemon.copy.replace([], 9)
+    written(10, "wide")
+    lines = [(f["name"], f["detail"], f["kind"]) for _, _, f in daemon.log.lines]
+    assert lines == [("odd", fault, KIND) for fault in ("deep", "deep", "wide", "wide")]
+
+
 def test_an_evacuation_is_known_in_time_though_all_watches_of_it_are_silent():
     async def play():
         async with running_fleet(5) as fleet:
