Use no back end whose entry has an odd address, size or time

What callers saw (report of another operator): an entry of a replica with a port out of range or a number too large ended the machines that read it.

Cause: the decoder of entries took any value that Python converts. Integers of 400 digits raised OverflowError, which it did not catch, so that the daemon's watch ended. Taken without complaint: negative, boolean or 1e308 slots, a negative or endless cold time, the hosts 999.1.1.1 and 10.0.0.1 with a NUL, ports in other digits, names of 100,000 characters or with CR and LF (which go into headers), adapters and models that are no lists, and a start that is no whole number.

An entry that names no usable back end is left out; one that was usable is removed from use as before. A line "servers: error" names it once for each fault, not once a renewal.

--- a/rosemarypath/platformsync.py
+++ b/rosemarypath/platformsync.py
@@ -8,9 +8,12 @@
 """
 
 from rosemarypath.clock import now
+from rosemarypath.faultlog import FaultLog
 
 __all__ = ["PlatformSync"]
 
+UNREADABLE = "unreadable entry"
+
 
 class PlatformSync:
     """
@@ -36,6 +39,7 @@
         self._fleet = fleet
         self._log = log
         self._on_limits = on_limits
+        self._server_faults = FaultLog(log, "servers")
         add = store_cache.add
         self._configuration = add(
             dialect.configuration_kind,
@@ -101,13 +105,16 @@
             self._update_back_end(name, now())
         for name in removed:
             self._remove_back_end(name, "removed")
+        self._server_faults.forget(removed)
 
     def _update_back_end(self, name, at):
         entry = self._dialect.decode_server(self._servers.objects[name])
+        known = self._fleet.back_ends.states.get(name)
+        self._server_faults.update(name, UNREADABLE if entry is None else "")
         if entry is None:
-            self._remove_back_end(name, "unreadable entry")
+            if known is not None:
+                self._remove_back_end(name, UNREADABLE)
             return
-        known = self._fleet.back_ends.states.get(name)
         was_draining = known is not None and known.entry.is_draining
         self._fleet.set_back_end(entry, at)
         if known is None or was_draining != entry.is_draining:
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -7,6 +7,7 @@
 """
 
 import re
+from math import inf, nan
 from pathlib import Path
 
 import msgspec
@@ -28,6 +29,7 @@
 from rosemarypath.platform.settings import read_settings
 from rosemarypath.stored import StoredObject
 from tests.edgefleet import HOST, KEY, configuration
+from tests.oddvalues import examines
 
 BACK_END = BackEnd(name="i-1", address="h:1", zone="z", kind="engine", serves="s")
 ANYTHING = st.recursive(
@@ -66,6 +68,59 @@
         assert isinstance(entry.back_end.serves, str) and entry.back_end.serves
 
 
+ODD_FIELDS = {
+    "service": ["", "z" * 100_000, "a\r\nb", 7],
+    "zone": ["z" * 100_000, "z\0", []],
+    "address": [
+        "999.1.1.1:80",
+        "10.0.0.1\0:80",
+        "10.0.0.1:65536",
+        "10.0.0.1:0",
+        "10.0.0.1:-1",
+        "10.0.0.1:\u0664\u0665",
+        "10.0.0.1:" + "9" * 5_000,
+        "10.0.0.1:8_0",
+        "10.0.0.1",
+        "::1:80",
+    ],
+    "slots": [True, -1, 1e308, 2.5, 10**400, "4", None],
+    "coldRemainingMs": [-1, 1e308, 10**400, inf, nan, "9", True],
+    "born": [-1, 1.5, 10**400, inf, "now", [1]],
+    "models": [
+        {},
+        "m",
+        [3],
+        [{"name": "m"}],
+        [{"name": "m", "version": True}],
+        [{"name": "m", "version": 1, "adapters": "ab"}],
+        [{"name": "m", "version": 1, "adapters": [3]}],
+        [{"name": "m", "version": 1, "adapters": ["a@" + "9" * 5_000]}],
+        [{"name": "m", "version": 1, "adapters": ["a@\u0664"]}],
+    ],
+}
+
+
+@pytest.mark.parametrize("field", ODD_FIELDS)
+def test_an_entry_with_an_odd_field_names_no_back_end(field):
+    for value in ODD_FIELDS[field]:
+        spec = {**SERVER, field: value}
+        assert decode_server(StoredObject("i-1", 3, spec)) is None, value
+
+
+@pytest.mark.parametrize("address", ["10.0.0.1:80", "[::1]:65535"])
+def test_addresses_of_both_families_are_used(address):
+    entry = decode_server(StoredObject("i-1", 3, {**SERVER, "address": address}))
+    assert entry.back_end.address == address
+
+
+@examines(SERVER)
+def test_any_entry_of_a_server_gives_a_usable_back_end_or_none(spec):
+    entry = decode_server(StoredObject("i-1", 3, spec))
+    if entry is not None:
+        msgspec.msgpack.encode(entry)
+        assert 0 <= entry.cold_seconds < inf and 0 <= entry.back_end.capacity < 2**32
+
+
 @given(ANYTHING)
 def test_decoding_arbitrary_entries_does_not_raise(spec):
     decode_server(StoredObject("i-1", 3, spec))
