Leave a silent back end only for a connected send to another one

With the other engine refusing connections the stream was cut, though the first went on after 1.9 s.

An exception in the preparation ended a sound answer, and the preparation was repeated for each byte of a stream that trickles.

Now the next send is prepared whole (another back end, adapter loaded, grant, connection) while the silent one is received from (rosemarypath/takeover.py), checked once more without an await, and used as it is. A failed preparation is logged and tried again after 0.1 s. A silent back end counts as half a failure, so that new requests prefer others.

Ruled out: to receive from both until the new head arrives; two engines may work on one request for 400 ms only, and a first event takes longer.

What remains: a back end that rejects the prepared send and no further retry.

--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -284,8 +284,18 @@
         """Deposit the share of a new request in the retry budget of its service."""
         self._retries.deposit(service)
 
-    def withdraw_retry(self, service, now):
-        """Withdraw one retry from the retry budget; return whether there was one."""
+    def has_retry(self, service, now):
+        """Return whether the retry budget has a retry for an optional use."""
+        return self._retries.has_spare(service, self._machine_count(), now)
+
+    def withdraw_retry(self, service, now, is_optional=False):
+        """
+        Withdraw one retry from the retry budget; return whether there was one.
+
+        An optional one leaves a part of the budget to requests that failed.
+        """
+        if is_optional and not self.has_retry(service, now):
+            return False
         return self._retries.try_withdraw(service, self._machine_count(), now)
 
     def set_back_end(self, entry, now):
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -156,6 +156,11 @@
                 continue
             context.enter_stage("send", choice.state.name, at)
             outcome = await self._sender.send(context, choice.state, connection)
+            while context.prepared is not None and self._may_retry(context, outcome):
+                context.may_have_run = True
+                prepared, context.prepared = context.prepared, None
+                context.enter_stage("send", prepared.state.name, now())
+                outcome = await self._sender.run(prepared, connection)
             if outcome is None:
                 return None
             if isinstance(outcome, Unknown):
@@ -196,28 +201,31 @@
 
     async def _prepare_retry(self, context):
         """
-        Return whether another back end can take over from the one that has the request.
+        Return a `Send` to another back end than the one that has the request.
 
-        If it has to load the adapter first, that is done here.
+        Returns ``None`` if none can take it over now. If one would have to load the
+        adapter first, it is loaded here, and the next call decides.
         """
-        if context.sends >= MAX_SENDS:
-            return False
+        if context.sends >= MAX_SENDS or not self._fleet.has_retry(
+            context.service, now()
+        ):
+            return None
         if self._fleet.quarantine.verdict(context.demand.shared_parts, now()).is_held:
-            return False
-        silent = context.excluded_after_failure(context.tried[-1])
-        choice = self._choose_back_end(context, now(), silent)
+            return None
+        choice = self._choose_back_end(context, now(), {context.tried[-1]})
         if isinstance(choice, Refusal):
-            return False
-        if not choice.needs_load:
-            return True
-        return await self._load_adapter(context, choice.state)
+            return None
+        if choice.needs_load:
+            await self._load_adapter(context, choice.state)
+            return None
+        prepared = await self._sender.prepare(context, choice.state)
+        return None if isinstance(prepared, NotRun) else prepared
 
     def _withdraw_retry(self, context):
-        """Withdraw a retry for the next send; return whether there was one."""
-        context.has_retry = self._fleet.withdraw_retry(context.service, now())
-        return context.has_retry
+        """Withdraw a retry for a request that has an answer to wait for."""
+        return self._fleet.withdraw_retry(context.service, now(), is_optional=True)
 
-    def _choose_back_end(self, context, at, excluded=frozenset()):
+    def _choose_back_end(self, context, at, excluded=()):
         demand = context.demand
         states = self._fleet.usable_states(context.service, at)
         version, learned_at = self._fleet.version_of(demand.adapter_key)
@@ -226,7 +234,7 @@
             version=version,
             version_age=at - learned_at,
             version_grace=self._fleet.version_grace,
-            excluded=self._excluded_back_ends(context, states) | excluded,
+            excluded=self._excluded_back_ends(context, states).union(excluded),
             load_blocked=self._fleet.load_blocked_engines(states, at)
             | context.load_blocked,
             load_failures=self._fleet.recent_load_failures(at),
@@ -266,7 +274,6 @@
             why=outcome.reason,
             seconds=round(now() - started, 4),
         )
-        return outcome.is_loaded
 
     def _may_retry(self, context, outcome):
         if context.sends >= MAX_SENDS or context.remaining(now()) <= 0.0:
@@ -276,10 +283,11 @@
         # The request never reached a back end, so the retry budget does not apply.
         if isinstance(outcome, NotRun) and outcome.code in NOT_SENT:
             return True
-        if not context.has_retry and not self._withdraw_retry(context):
+        if context.prepared is None and not self._fleet.withdraw_retry(
+            context.service, now()
+        ):
             self._metrics.count("retries.over_budget")
             return False
-        context.has_retry = False
         self._metrics.count("retries")
         return True
 
--- a/rosemarypath/requestcontext.py
+++ b/rosemarypath/requestcontext.py
@@ -49,8 +49,9 @@
         Times of the events passed on, and the longest gap in seconds.
     `priority`
         0 is the most urgent.
-    `has_retry`
-        Whether a retry was withdrawn from the budget for its next send.
+    `prepared`
+        The `Send` that takes it over from a silent back end, ``None`` without one; its
+        retry was withdrawn from the budget.
     """
 
     request: object
@@ -76,7 +77,7 @@
     last_event_at: float = 0.0
     longest_gap: float = 0.0
     priority: int = 5
-    has_retry: bool = False
+    prepared: object = None
 
     @property
     def id(self):
@@ -146,7 +147,8 @@
     on the lease clock at which a send to a back end with a limit was granted, ``None``
     without a limit. `head` is the `AnswerHead`; `has_first_event` and `is_complete`
     tell how much of the answer came, `has_lost_connection` whether the connection ended
-    before it was complete. `was_silent` tells whether a silence was logged.
+    before it was complete. `was_silent` tells whether the back end fell silent,
+    `checks_at` when to look again whether another one can take the request over.
     """
 
     context: object
@@ -161,3 +163,4 @@
     has_lost_connection: bool = False
     is_complete: bool = False
     was_silent: bool = False
+    checks_at: float = 0.0
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -13,6 +13,7 @@
 from rosemarypath.outcome import NotRun, Unknown
 from rosemarypath.requestcontext import Send
 from rosemarypath.routing import STREAM
+from rosemarypath.takeover import Takeover
 
 __all__ = ["WITHDRAWN", "Sender"]
 
@@ -22,9 +23,9 @@
 EVENT_GAP_TIMEOUT_SECONDS = 1.2  # between two events
 ANSWER_TIMEOUT_SHARE = 0.5  # of the remaining time, for an idempotent call
 MIN_ANSWER_TIMEOUT_SECONDS = 0.7  # a slow but healthy back end answers within this
-TAKEOVER_POLL_SECONDS = 0.1  # between two checks whether another back end can take over
 UNREACHABLE_WEIGHT = 2.0  # failures that a refused connection counts as
 MISDIRECTED_WEIGHT = 4.0  # the same where another back end has the address now
+SILENCE_WEIGHT = 0.5  # the same for one that fell silent and may go on
 REJECTED_WEIGHT = 0.5  # the same for a request that the back end rejected
 REJECTED_RETRY_SECONDS = 0.3  # until a full back end has capacity again
 UNREACHABLE_RETRY_SECONDS = 0.1  # short, as another back end is tried next
@@ -50,8 +51,8 @@
     `log`, `metrics`
         The `DecisionLog` and the counters.
     ``await prepare_retry(context)``
-        Returns whether another back end can take over a request at once, after its
-        adapter was loaded there.
+        Returns a `Send` to another back end that can take the request over at once,
+        ``None`` if there is none.
     ``withdraw_retry(context)``
         Returns whether a retry could be withdrawn from the budget.
     """
@@ -59,8 +60,9 @@
     def __init__(
         self, dialect, pool, fleet, log, metrics, prepare_retry, withdraw_retry
     ):
-        self._prepare_retry = prepare_retry
-        self._withdraw_retry = withdraw_retry
+        self._takeover = Takeover(
+            prepare_retry, withdraw_retry, self._may_send, self._discard, log
+        )
         self._dialect = dialect
         self._pool = pool
         self._fleet = fleet
@@ -74,7 +76,14 @@
         Returns ``None`` when the answer was sent to the caller, else a `NotRun` or an
         `Unknown`.
         """
-        send = Send(context, state, now(), connection)
+        send = await self.prepare(context, state)
+        if isinstance(send, NotRun):
+            return send
+        return await self.run(send, connection)
+
+    async def prepare(self, context, state):
+        """Acquire a grant and a connection; return a `Send`, or a `NotRun`."""
+        send = Send(context, state, now())
         if self._fleet.has_limit(state):
             context.enter_stage("grant", state.name, send.started)
             seconds = await self._fleet.grants.acquire(state.incarnation)
@@ -91,6 +100,12 @@
             return self._fail_unreachable(send, error.message)
         # The latency of the answer excludes the time to connect.
         send.connect_seconds = now() - send.started
+        return send
+
+    async def run(self, send, connection):
+        """Send a prepared request; see `send`."""
+        context, state = send.context, send.state
+        send.caller = connection
         send.started = now()
         if not self._may_send(send):
             return self._fail_withdrawn(send)
@@ -114,16 +129,21 @@
             self._pool.release(send.upstream, now())
             state.end_request(context.demand, send.has_first_event, now())
 
+    def _discard(self, send):
+        """Drop a prepared send that is not needed."""
+        self._pool.release(send.upstream, now())
+        send.context.end_wait()
+
     def _may_send(self, send):
         """Return whether the back end and the request are still eligible."""
         parts = send.context.demand.shared_parts
-        verdict = self._fleet.quarantine.verdict(parts, send.started)
+        verdict = self._fleet.quarantine.verdict(parts, now())
         if verdict.blocked_part:
             return False
         is_granted = send.granted_at is not None
         if is_granted and lease_now() - send.granted_at > GRANT_SECONDS:
             return False
-        return self._fleet.accepts_request(send.state, is_granted, send.started)
+        return self._fleet.accepts_request(send.state, is_granted, now())
 
     async def _record_crash(self, send):
         """Record a crash under the request's prompt if the back end is gone."""
@@ -184,36 +204,8 @@
             is_final = not send.context.route.is_idempotent
             if is_final or send.context.remaining(now()) <= 0.0:
                 raise
-        return await self._receive_or_replace(send, receive)
-
-    async def _receive_or_replace(self, send, receive):
-        """Receive from a silent back end until another one can take over."""
-        context = send.context
-        self._log_silence(send)
-        receiving = asyncio.ensure_future(receive())
-        preparing = None
-        try:
-            while (left := context.remaining(now())) > 0.0:
-                preparing = asyncio.ensure_future(self._prepare_retry(context))
-                await asyncio.wait(
-                    {receiving, preparing},
-                    timeout=left,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                if not receiving.done() and preparing.done() and preparing.result():
-                    if self._withdraw_retry(context):
-                        raise TimeoutError
-                await asyncio.wait(
-                    {receiving}, timeout=min(left, TAKEOVER_POLL_SECONDS)
-                )
-                if receiving.done():
-                    context.end_wait()
-                    return receiving.result()
-            raise TimeoutError
-        finally:
-            receiving.cancel()
-            if preparing is not None:
-                preparing.cancel()
+        self._record_silence(send)
+        return await self._takeover.receive(send, receive)
 
     def _first_timeout(self, context, at):
         left = context.remaining(at)
@@ -393,11 +385,12 @@
             True,
         )
 
-    def _log_silence(self, send):
-        """Log, once a send, that the back end fell silent."""
+    def _record_silence(self, send):
+        """Record, once a send, that the back end fell silent."""
         if send.was_silent:
             return
         send.was_silent = True
+        send.state.record_failure(now(), SILENCE_WEIGHT)
         self._metrics.count("silences")
         self._log.write(
             "send",
--- a/rosemarypath/tokenbuckets.py
+++ b/rosemarypath/tokenbuckets.py
@@ -148,13 +148,23 @@
 
     def try_withdraw(self, service, machines, now):
         """Take one retry, of the limit for `machines` daemons; return success."""
+        bucket, _ = self._refilled_bucket(service, machines, now)
+        if bucket[0] < 1.0:
+            return False
+        bucket[0] -= 1.0
+        return True
+
+    def has_spare(self, service, machines, now):
+        """Return whether a retry can be taken."""
+        bucket, _ = self._refilled_bucket(service, machines, now)
+        return bucket[0] >= 1.0
+
+    def _refilled_bucket(self, service, machines, now):
+        """Return the bucket of a service, a list of retries and time, and its size."""
         part = self._slack / machines
         most = max(1.0, part * RETRY_BURST)
         bucket = self._buckets.setdefault(service, [most, now])
         refill = (now - bucket[1]) * part * (1.0 - RETRY_BURST) / self._window
         bucket[0] = min(most, bucket[0] + refill)
         bucket[1] = now
-        if bucket[0] < 1.0:
-            return False
-        bucket[0] -= 1.0
-        return True
+        return bucket, most
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -9,12 +9,15 @@
 
 import pytest
 
+from rosemarypath.clock import now
 from standins import replica
-from tests.edgefleet import running_fleet
+from tests.edgefleet import configuration, running_fleet
 from tests.test_forwarding import WHOLE
 
 SILENT_SECONDS = 1.9  # longer than any time after which another back end is asked
 DEADLINE_MS = 6000
+MAX_TRIES = 30  # until the choice prefers each of two engines once
+LATE_SECONDS = 0.06  # less than the interval in which a takeover is looked for
 
 
 def play(scenario):
@@ -40,9 +43,13 @@
         fleet.store.remove("servers", other.name)
     service = "oracle" if replicas is fleet.engines else "ledger"
     view = fleet.daemons[0]._fleet
-    await fleet.until(
-        lambda: len(view.usable_states(service, asyncio.get_running_loop().time())) == 1
-    )
+    await fleet.until(lambda: len(view.usable_states(service, now())) == 1)
+
+
+def prefer_first_engine(fleet):
+    """Let the next request go to the first engine."""
+    states = fleet.daemons[0]._fleet.back_ends.states
+    states[fleet.engines[1].name].record_failure(now(), 5.0)
 
 
 async def ask(fleet, id="s"):
@@ -78,7 +85,7 @@
 def test_a_silent_stream_is_not_cut_when_the_retry_budget_is_used_up(fault):
     async def scenario(fleet):
         view = fleet.daemons[0]._fleet
-        view.withdraw_retry = lambda service, now: False
+        view.withdraw_retry = lambda service, now, is_optional=False: False
         silence(fleet.engines, fault)
         reply = await ask(fleet)
         assert (reply.status, reply.body) == (200, WHOLE)
@@ -91,14 +98,79 @@
 def test_a_stream_that_stays_silent_is_resumed_at_another_engine(fault):
     async def scenario(fleet):
         loop = asyncio.get_running_loop()
-        silence(fleet.engines, fault, seconds=30.0)
-        fleet.engines[0].faults.silences = fleet.engines[0].faults.late_begins = 0
-        for number in range(4):
+        silence(fleet.engines[1:], fault, seconds=30.0)
+        for number in range(MAX_TRIES):
             started = loop.time()
             reply = await ask(fleet, id=f"s{number}")
             assert (reply.status, reply.body) == (200, WHOLE)
             assert loop.time() - started < 2.4  # after which callers leave
-        assert not getattr(fleet.engines[1].faults, fault)
+            if not getattr(fleet.engines[1].faults, fault):
+                break
+        assert [e.count_runs(f"s{number}") for e in fleet.engines] == [1, 1]
+        resumed = next(r for r in fleet.engines[0].requests if r.id == f"s{number}")
+        expected = "2" if fault == "silences" else None
+        assert resumed.headers.get("last-event-id") == expected
+
+    play(scenario)
+
+
+def test_a_stream_stays_when_the_engine_that_could_take_over_cannot_be_reached():
+    async def scenario(fleet):
+        prefer_first_engine(fleet)
+        silence(fleet.engines[:1], "silences")
+        task = asyncio.ensure_future(ask(fleet))
+        await fleet.until(lambda: fleet.engines[0].count_runs("s") == 1)
+        fleet.engines[1].close()
+        reply = await task
+        assert (reply.status, reply.body) == (200, WHOLE)
+        assert fleet.engines[0].count_runs("s") == 1
+
+    play(scenario)
+
+
+def test_a_silent_request_is_not_sent_to_the_same_back_end_again():
+    async def scenario(fleet):
+        route = {"name": "one", "pathPrefix": "/one/", "kind": "safe", "maxAttempts": 1}
+        fleet.configure(configuration(2, routes=[route]))
+        await fleet.until(lambda: fleet.has_adopted(2))
+        silence(fleet.ledgers, "silences")
+        reply = await fleet.call(b"/one/x", id="s")
+        assert reply.status == 200
+        assert sum(ledger.count_runs("s") for ledger in fleet.ledgers) == 1
+
+    play(scenario)
+
+
+def test_an_error_while_a_takeover_is_prepared_does_not_cut_a_stream(monkeypatch):
+    async def scenario(fleet):
+        forwarder = fleet.daemons[0]._forwarder
+        silence(fleet.engines, "silences")
+
+        async def fail(context, state):
+            raise TimeoutError("of a test")
+
+        def is_first():
+            return sum(engine.count_runs("s") for engine in fleet.engines) == 1
+
+        task = asyncio.ensure_future(ask(fleet))
+        await fleet.until(is_first)
+        monkeypatch.setattr(forwarder._sender, "prepare", fail)
+        reply = await task
+        assert (reply.status, reply.body) == (200, WHOLE)
+        assert is_first()
+
+    play(scenario)
+
+
+def test_a_request_to_a_silent_back_end_ends_at_its_deadline():
+    async def scenario(fleet):
+        loop = asyncio.get_running_loop()
+        await leave_only_first(fleet, fleet.ledgers)
+        silence(fleet.ledgers[:1], "silences", seconds=30.0)
+        started = loop.time()
+        reply = await fleet.call(b"/read/x", id="s", deadline=2000)
+        assert reply.status == 504
+        assert loop.time() - started < 2.0 + LATE_SECONDS
 
     play(scenario)
 
