Leave half of the retries to requests that have nothing to wait for

Cause: requests at silent back ends looked for a retry ten times a second and took each as soon as it was in the budget, though their first answer might still come; a request that broke had none left.

Such an optional retry is now withdrawn only if it leaves half of the bucket beyond one. Where a daemon's bucket holds only one retry nothing changes, as no takeover would happen there otherwise.

The test in tests/test_sending.py failed before, as the silent requests left nothing.

--- a/rosemarypath/tokenbuckets.py
+++ b/rosemarypath/tokenbuckets.py
@@ -18,6 +18,7 @@
 START_SECONDS = 1.0
 PEER_SILENCE_SECONDS = 1.2  # after which a peer's grants are not counted; see `Peers`
 RETRY_MARGIN = 0.85  # used part of the limit on retries
+SPARED_SHARE = 0.5  # of a bucket of retries, left to requests that failed
 RETRY_BURST = 0.5  # part of the slack to spend at once; the rest is added over time
 
 
@@ -155,9 +156,9 @@
         return True
 
     def has_spare(self, service, machines, now):
-        """Return whether a retry can be taken."""
-        bucket, _ = self._refilled_bucket(service, machines, now)
-        return bucket[0] >= 1.0
+        """Return whether a retry can be taken that leaves half of the others."""
+        bucket, most = self._refilled_bucket(service, machines, now)
+        return bucket[0] >= 1.0 + (most - 1.0) * SPARED_SHARE
 
     def _refilled_bucket(self, service, machines, now):
         """Return the bucket of a service, a list of retries and time, and its size."""
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -141,6 +141,16 @@
     play(scenario)
 
 
+def test_silent_requests_leave_retries_to_those_that_failed():
+    async def scenario(fleet):
+        view = fleet.daemons[0]._fleet
+        while view.has_retry("ledger", now()):
+            assert view.withdraw_retry("ledger", now())
+        assert view.withdraw_retry("ledger", now())
+
+    play(scenario)
+
+
 def test_an_error_while_a_takeover_is_prepared_does_not_cut_a_stream(monkeypatch):
     async def scenario(fleet):
         forwarder = fleet.daemons[0]._forwarder
