Let timers of callers' connections follow the limits in force

What callers saw: after a configuration that lengthens the idle timeout, a connection that was idle at the change was closed at the old, shorter time, while its caller went by the new one and sent a request. Besides, a request that was begun behind another one had no timer once that was answered, so that a caller could hold the connection open for ever.

Cause: a timer took its limit when it was set, and none was set after an answer if a part of the next request was there.

A timer now keeps the name of its limit and its start. When it fires, it looks at the limits in force and goes on waiting if they allow longer. A shorter limit does not touch timers that run. Data that has arrived is read before timers in the same turn of the event loop, and puts the connection under the header timeout, so that the idle timer meets no begun request. After an answer, a begun request is under the header timeout until its head is complete, and its body under the idle timeout, as on an idle connection.

--- a/rosemarypath/listener.py
+++ b/rosemarypath/listener.py
@@ -25,6 +25,8 @@
 HEADERS_TOO_LARGE = 431
 INTERNAL_ERROR = 500
 CHUNK_END = b"0\r\n\r\n"
+IDLE = "idle_timeout"  # names of the limits that timers look at
+HEADER = "header_timeout"
 
 
 @dataclass
@@ -73,6 +75,8 @@
         self._header_bytes = 0  # received of the present head; -1 once it is complete
         self._header_field_bytes = 0  # parsed of the present head: path and fields
         self._timer = None
+        self._timer_limit = IDLE
+        self._timer_started = 0.0
         self._task = None
         self._is_rejected = False
         self._is_chunked = False
@@ -99,14 +103,14 @@
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._listener.connections.add(self)
-        self._set_timer(self._listener.limits.idle_timeout)
+        self._set_timer(IDLE)
         self._task = self._loop.create_task(self._serve())
 
     def data_received(self, data):
         if self._is_rejected:
             return
         if self._request is None and not self._requests and not self.is_busy:
-            self._set_timer(self._listener.limits.header_timeout)
+            self._set_timer(HEADER)
         if self._header_bytes >= 0:
             self._header_bytes += len(data)
         try:
@@ -146,7 +150,7 @@
         if self._header_field_bytes > self._listener.limits.header_bytes:
             self._reject(HEADERS_TOO_LARGE)
             return
-        self._set_timer(self._listener.limits.idle_timeout)
+        self._set_timer(IDLE)
         request = self._request
         request.method = self._parser.get_method()
         request.keep_alive = self._parser.should_keep_alive()
@@ -292,11 +296,13 @@
             if not request.keep_alive or request.status:
                 await self._close_after_answer(request)
                 return
-            if not self._requests and self._request is None:
-                if self._listener.is_stopping:
-                    self.close()
-                    return
-                self._set_timer(self._listener.limits.idle_timeout)
+            if self._requests:
+                continue
+            if self._request is None and self._listener.is_stopping:
+                self.close()
+                return
+            is_in_head = self._request is not None and self._header_bytes >= 0
+            self._set_timer(HEADER if is_in_head else IDLE)
 
     async def _handle(self, request):
         try:
@@ -316,9 +322,17 @@
             await asyncio.sleep(LINGER_SECONDS)
         self.close()
 
-    def _set_timer(self, seconds):
+    @property
+    def _timer_due(self):
+        """Return when the timer is due under the limits in force."""
+        return self._timer_started + getattr(self._listener.limits, self._timer_limit)
+
+    def _set_timer(self, limit):
+        """Start the timer for the limit of this name."""
         self._cancel_timer()
-        self._timer = self._loop.call_later(seconds, self._on_timer)
+        self._timer_limit = limit
+        self._timer_started = self._loop.time()
+        self._timer = self._loop.call_at(self._timer_due, self._on_timer)
 
     def _cancel_timer(self):
         if self._timer is not None:
@@ -329,7 +343,9 @@
         self._timer = None
         if self.is_busy or self._requests:
             return
-        if self._request is not None:
+        if self._timer_due > self._loop.time():
+            self._timer = self._loop.call_at(self._timer_due, self._on_timer)
+        elif self._request is not None:
             self._reject(REQUEST_TIMEOUT)
         else:
             self.close()
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -198,3 +198,67 @@
     data = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * 2
     received, _ = send_and_receive(data, handle, reads=2)
     assert received.count(b"whole") == 2
+
+
+HEAD = b"GET / HTTP/1.1\r\nHost: h\r\n"
+
+
+def request_after_change(before, after, seconds):
+    """
+    Send a request on a connection that has been idle for `seconds`.
+
+    Its idle timeout, in seconds, is `before` at first, `after` from 0.05 s on. Returns
+    what was received within a second.
+    """
+
+    async def handle(request, connection):
+        connection.answer(200, [], b"whole")
+
+    async def run():
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        limits = IngressLimits(idle_timeout=before, header_timeout=2.0)
+        listener = Listener(address, handle, limits)
+        await listener.start()
+        host, port = address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        await asyncio.sleep(0.05)
+        listener.limits = IngressLimits(idle_timeout=after, header_timeout=2.0)
+        await asyncio.sleep(seconds - 0.05)
+        writer.write(HEAD)
+        await asyncio.sleep(0.3)  # a begun request is under the header timeout
+        writer.write(b"\r\n")
+        try:
+            async with asyncio.timeout(1.0):
+                return await reader.read(65536)
+        except ConnectionError:
+            return b""
+        finally:
+            listener.close()
+            writer.close()
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize(("before", "after"), [(0.3, 1.2), (0.8, 0.2)])
+def test_an_idle_connection_is_not_closed_early_after_its_timeout_changed(
+    before, after
+):
+    assert request_after_change(before, after, 0.6).endswith(b"whole")
+
+
+def test_an_idle_connection_is_closed_after_a_changed_timeout():
+    assert request_after_change(0.2, 0.4, 0.6) == b""
+
+
+@pytest.mark.parametrize(
+    "rest", [HEAD[:9], b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nx"]
+)
+def test_a_request_begun_behind_another_one_times_out(rest):
+    async def handle(request, connection):
+        await asyncio.sleep(0.7)  # longer than the timers that start meanwhile
+        connection.answer(request.status or 200, [], closes=bool(request.status))
+
+    data = HEAD + b"\r\n" + rest
+    received, _ = send_and_receive(data, handle, reads=0, seconds=3.0)
+    assert received.startswith(b"HTTP/1.1 200")
+    assert b"HTTP/1.1 408" in received and not received.endswith(b"<open>")
