--- a/rosemarypath/listener.py
+++ b/rosemarypath/listener.py
@@ -23,7 +23,10 @@
 REQUEST_TIMEOUT = 408
 CONTENT_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
+INTERNAL_ERROR = 500
 CHUNK_END = b"0\r\n\r\n"
+IDLE = "idle_timeout"  # names of the limits that timers look at
+HEADER = "header_timeout"
 
 
 @dataclass
@@ -56,7 +59,7 @@
     A connection from a caller.
 
     `listener` is the `Listener` that accepted it. `is_busy` is set while a request is
-    being handled, `has_answered` once the answer to that request has begun.
+    being handled, `has_answered` once bytes of the answer to that request were sent.
     """
 
     def __init__(self, listener):
@@ -72,9 +75,12 @@
         self._header_bytes = 0  # received of the present head; -1 once it is complete
         self._header_field_bytes = 0  # parsed of the present head: path and fields
         self._timer = None
+        self._timer_limit = IDLE
+        self._timer_started = 0.0
         self._task = None
         self._is_rejected = False
         self._is_chunked = False
+        self._is_answered = False
         self.is_busy = False
         self.has_answered = False
 
@@ -97,14 +103,14 @@
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._listener.connections.add(self)
-        self._set_timer(self._listener.limits.idle_timeout)
+        self._set_timer(IDLE)
         self._task = self._loop.create_task(self._serve())
 
     def data_received(self, data):
         if self._is_rejected:
             return
         if self._request is None and not self._requests and not self.is_busy:
-            self._set_timer(self._listener.limits.header_timeout)
+            self._set_timer(HEADER)
         if self._header_bytes >= 0:
             self._header_bytes += len(data)
         try:
@@ -144,7 +150,7 @@
         if self._header_field_bytes > self._listener.limits.header_bytes:
             self._reject(HEADERS_TOO_LARGE)
             return
-        self._set_timer(self._listener.limits.idle_timeout)
+        self._set_timer(IDLE)
         request = self._request
         request.method = self._parser.get_method()
         request.keep_alive = self._parser.should_keep_alive()
@@ -181,7 +187,6 @@
         chunks, or ends with the connection if the caller doesn't support chunks. With
         `closes` the connection is closed after the answer.
         """
-        self.has_answered = True
         request = self._current_request
         closes = closes or not request.keep_alive or self._listener.is_stopping
         lines = [b"HTTP/1.1 %d %b" % (status, _reason_phrase(status))]
@@ -206,6 +211,7 @@
         if self._unsent_head:
             data = self._unsent_head + data
             self._unsent_head = b""
+        self.has_answered = True
         self._transport.write(data)
         if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.abort()
@@ -214,9 +220,22 @@
         """Complete the answer: send an unsent head and, in chunks, the last chunk."""
         data = self._unsent_head + (CHUNK_END if self._is_chunked else b"")
         self._unsent_head = b""
+        self.has_answered = self._is_answered = True
         if data:
             self._transport.write(data)
 
+    def fail(self, status, headers):
+        """
+        End a request whose handling failed.
+
+        It is answered with `status` if nothing of an answer was sent. An incomplete
+        answer is broken off; a complete one stands.
+        """
+        if not self.has_answered:
+            self.answer(status, headers)
+        elif not self._is_answered:
+            self.abort()
+
     def answer(self, status, headers, body=b"", closes=False):
         """Send a complete answer."""
         self.write_head(status, headers, len(body), closes)
@@ -271,17 +290,26 @@
                 self._transport.resume_reading()
             self._current_request = request
             self.is_busy = True
-            self.has_answered = False
-            await self._listener.handle(request, self)
+            self.has_answered = self._is_answered = False
+            await self._handle(request)
             self.is_busy = False
             if not request.keep_alive or request.status:
                 await self._close_after_answer(request)
                 return
-            if not self._requests and self._request is None:
-                if self._listener.is_stopping:
-                    self.close()
-                    return
-                self._set_timer(self._listener.limits.idle_timeout)
+            if self._requests:
+                continue
+            if self._request is None and self._listener.is_stopping:
+                self.close()
+                return
+            is_in_head = self._request is not None and self._header_bytes >= 0
+            self._set_timer(HEADER if is_in_head else IDLE)
+
+    async def _handle(self, request):
+        try:
+            await self._listener.handle(request, self)
+        except Exception as error:  # A bug must not leave a caller waiting.
+            self._listener.on_error(error)
+            self.fail(INTERNAL_ERROR, [])
 
     async def _close_after_answer(self, request):
         """
@@ -294,9 +322,17 @@
             await asyncio.sleep(LINGER_SECONDS)
         self.close()
 
-    def _set_timer(self, seconds):
+    @property
+    def _timer_due(self):
+        """Return when the timer is due under the limits in force."""
+        return self._timer_started + getattr(self._listener.limits, self._timer_limit)
+
+    def _set_timer(self, limit):
+        """Start the timer for the limit of this name."""
         self._cancel_timer()
-        self._timer = self._loop.call_later(seconds, self._on_timer)
+        self._timer_limit = limit
+        self._timer_started = self._loop.time()
+        self._timer = self._loop.call_at(self._timer_due, self._on_timer)
 
     def _cancel_timer(self):
         if self._timer is not None:
@@ -307,7 +343,9 @@
         self._timer = None
         if self.is_busy or self._requests:
             return
-        if self._request is not None:
+        if self._timer_due > self._loop.time():
+            self._timer = self._loop.call_at(self._timer_due, self._on_timer)
+        elif self._request is not None:
             self._reject(REQUEST_TIMEOUT)
         else:
             self.close()
@@ -320,11 +358,14 @@
     Each request is answered by ``await handle(request, connection)``, with an
     `IncomingRequest` and a `CallerConnection`. `limits` are the `IngressLimits`. While
     `is_stopping` is set, each connection is closed after its next answer.
+    ``on_error(error)`` is called with an exception of the handler (default: it is given
+    to the event loop's exception handler).
     """
 
-    def __init__(self, address, handle, limits):
+    def __init__(self, address, handle, limits, on_error=None):
         self._address = address
         self._server = None
+        self.on_error = on_error or _report_error
         self.handle = handle
         self.limits = limits
         self.connections = set()
@@ -360,6 +401,11 @@
             connection.abort()
 
 
+def _report_error(error):
+    context = {"message": "a request's handler failed", "exception": error}
+    asyncio.get_running_loop().call_exception_handler(context)
+
+
 def _reason_phrase(status):
     try:
         return HTTPStatus(status).phrase.encode()
