Decode configurations and versions without exceptions of odd values

What callers saw: nothing yet; found by reading and by a test with any document. A field such as an endless number in a configuration raised OverflowError, which ended the watch's task and with it each daemon. Others were taken and failed later: a path prefix or a health path that is no text at the first request, a version of 400 digits in each message to peers.

Now every field is checked when a configuration or version is decoded. An unreadable configuration leaves the former in force, which is logged once for each revision; an unreadable version is named once and costs no other. Evacuations count by name whatever they contain. Numbers in texts ("5") and negative ones are no longer taken.

Tests: tests/test_platform_formats.py, tests/test_platformsync.py.

--- a/rosemarypath/platform/configuration.py
+++ b/rosemarypath/platform/configuration.py
@@ -6,6 +6,12 @@
 """
 
 from rosemarypath.customer import hash_key
+from rosemarypath.platform.fields import (
+    require_list,
+    require_number,
+    require_text,
+    whole,
+)
 from rosemarypath.routing import (
     SAFE,
     STREAM,
@@ -33,6 +39,7 @@
 EVACUATION_KIND = "evacuations"  # one object for each evacuated zone, with its name
 VERSION_KIND = "versions"
 MS_PER_SECOND = 1000.0
+DECODING_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 ROUTE_KINDS = {"safe": SAFE, "unsafe": UNSAFE, "streaming": STREAM}
 
 
@@ -47,22 +54,22 @@
     spec = stored.spec
     try:
         return RoutingTable.from_parts(
-            int(spec["version"]),
+            whole(spec["version"]),
             stored.version,
             [_decode_route(entry) for entry in _named_entries(spec["routes"])],
             [_decode_service(entry) for entry in _named_entries(spec["services"])],
             _decode_customers(spec),
             _decode_limits(spec.get("limits") or {}),
         )
-    except (KeyError, TypeError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         raise ValueError(f"configuration at {stored.version}: {error!r}") from error
 
 
 def configuration_number(stored):
     """Return the operator's number of a configuration, 0 if it is unreadable."""
     try:
-        return int(stored.spec["version"])
-    except (KeyError, TypeError, ValueError):
+        return whole(stored.spec["version"])
+    except DECODING_ERRORS:
         return 0
 
 
@@ -75,8 +82,13 @@
     """
     spec = stored.spec
     try:
-        return spec["model"], spec.get("adapter") or "", int(spec["version"])
-    except (KeyError, TypeError, ValueError, AttributeError):
+        adapter = spec.get("adapter")
+        return (
+            require_text(spec["model"]),
+            require_text(adapter) if adapter else "",
+            whole(spec["version"]),
+        )
+    except DECODING_ERRORS:
         return None
 
 
@@ -90,22 +102,25 @@
 def _decode_route(entry):
     split = entry.get("trafficSplit")
     if split:
-        targets = tuple((part["service"], float(part["weight"])) for part in split)
+        targets = tuple(
+            (require_text(part["service"]), require_number(part["weight"]))
+            for part in require_list(split)
+        )
     else:
-        targets = ((entry["service"], 1.0),)
+        targets = ((require_text(entry["service"]), 1.0),)
     return PathRoute(
-        name=entry["name"],
-        host=entry["host"].lower(),
-        prefix=entry["pathPrefix"],
+        name=require_text(entry["name"]),
+        host=require_text(entry["host"]).lower(),
+        prefix=require_text(entry["pathPrefix"]),
         targets=targets,
         kind=ROUTE_KINDS[entry["kind"]],
-        timeout=entry["timeoutMs"] / MS_PER_SECOND,
+        timeout=require_number(entry["timeoutMs"]) / MS_PER_SECOND,
         # An answer within this latency has its full benefit for the caller; for
         # streams, it is the latency of the first event.
-        objective=entry.get("targetLatencyMs", 1000) / MS_PER_SECOND,
-        gap_objective=(entry.get("gapAimMs") or 0) / MS_PER_SECOND,
-        priority=int(entry.get("priority", 5)),
-        attempts=int(entry.get("maxAttempts") or 1),
+        objective=require_number(entry.get("targetLatencyMs", 1000)) / MS_PER_SECOND,
+        gap_objective=require_number(entry.get("gapAimMs") or 0) / MS_PER_SECOND,
+        priority=whole(entry.get("priority", 5)),
+        attempts=whole(entry.get("maxAttempts") or 1),
         is_open=bool(entry.get("public", False)),
         can_resume=bool(entry.get("resumable", False)),
     )
@@ -114,25 +129,30 @@
 def _decode_service(entry):
     engine = entry.get("engine")
     return ServicePlan(
-        name=entry["name"],
-        health_path=entry.get("healthPath") or "/health",
-        connections=int(entry.get("maxConns") or 0),
-        cold_seconds=float(entry.get("coldStartS") or 0.0),
-        cold_rate=float(entry.get("coldPerS") or 0.0),
+        name=require_text(entry["name"]),
+        health_path=require_text(entry.get("healthPath") or "/health"),
+        connections=whole(entry.get("maxConns") or 0),
+        cold_seconds=require_number(entry.get("coldStartS") or 0.0),
+        cold_rate=require_number(entry.get("coldPerS") or 0.0),
         engine=_decode_engine(engine) if engine else None,
     )
 
 
 def _decode_engine(engine):
-    models = engine.get("models") or []
+    models = require_list(engine.get("models"))
     return EnginePlan(
-        slots=int(engine.get("slots") or 1),
-        kv_tokens=int(engine.get("kvCacheTokens") or 0),
-        models={model["name"]: float(model["weightsMb"]) for model in models},
-        adapter_mb={m["name"]: float(m.get("adapterMb") or 0.0) for m in models},
-        weights_mb=float(engine.get("weightsMb") or 0.0),
-        adapter_places=int(engine.get("maxAdapters") or 0),
-        loads_per_second=float(engine.get("loadsPerS") or 0.0),
+        slots=whole(engine.get("slots") or 1),
+        kv_tokens=whole(engine.get("kvCacheTokens") or 0),
+        models={
+            require_text(model["name"]): require_number(model["weightsMb"])
+            for model in models
+        },
+        adapter_mb={
+            m["name"]: require_number(m.get("adapterMb") or 0.0) for m in models
+        },
+        weights_mb=require_number(engine.get("weightsMb") or 0.0),
+        adapter_places=whole(engine.get("maxAdapters") or 0),
+        loads_per_second=require_number(engine.get("loadsPerS") or 0.0),
     )
 
 
@@ -150,25 +170,27 @@
     for entry in _named_entries(tenants):
         priority = entry.get("priority")
         contract = Contract(
-            name=entry["name"],
-            priority=None if priority is None else int(priority),
+            name=require_text(entry["name"]),
+            priority=None if priority is None else whole(priority),
             budget=Budget(
-                rate=float(entry.get("ratePerS") or 0.0),
-                burst=float(entry.get("burst") or 0.0),
+                rate=require_number(entry.get("ratePerS") or 0.0),
+                burst=require_number(entry.get("burst") or 0.0),
                 counts_tokens=entry.get("unit") == "tokens",
-                plain_tokens=int(entry.get("plainTokens") or 1),
+                plain_tokens=whole(entry.get("plainTokens") or 1),
             ),
         )
-        for key in entry.get("apiKeys") or ():
-            customers[hash_key(key)] = contract
+        for key in require_list(entry.get("apiKeys")):
+            customers[hash_key(require_text(key))] = contract
     return customers
 
 
 def _decode_limits(limits):
     default = IngressLimits()
     return IngressLimits(
-        header_bytes=int(limits.get("maxHeaderBytes") or default.header_bytes),
-        body_bytes=int(limits.get("maxBodyBytes") or default.body_bytes),
-        header_timeout=(limits.get("headerTimeoutMs") or 3000) / MS_PER_SECOND,
-        idle_timeout=(limits.get("idleTimeoutMs") or 15000) / MS_PER_SECOND,
+        header_bytes=whole(limits.get("maxHeaderBytes") or default.header_bytes),
+        body_bytes=whole(limits.get("maxBodyBytes") or default.body_bytes),
+        header_timeout=require_number(limits.get("headerTimeoutMs") or 3000)
+        / MS_PER_SECOND,
+        idle_timeout=require_number(limits.get("idleTimeoutMs") or 15000)
+        / MS_PER_SECOND,
     )
--- a/rosemarypath/platformsync.py
+++ b/rosemarypath/platformsync.py
@@ -8,7 +8,7 @@
 """
 
 from rosemarypath.clock import now
-from rosemarypath.faultlog import FaultLog
+from rosemarypath.faultlog import FaultLog, shortened
 
 __all__ = ["PlatformSync"]
 
@@ -39,7 +39,9 @@
         self._fleet = fleet
         self._log = log
         self._on_limits = on_limits
+        self._configuration_faults = FaultLog(log, "configuration")
         self._server_faults = FaultLog(log, "servers")
+        self._version_faults = FaultLog(log, "versions")
         add = store_cache.add
         self._configuration = add(
             dialect.configuration_kind,
@@ -86,7 +88,7 @@
         try:
             table = self._dialect.decode_configuration(stored)
         except ValueError as error:
-            self._log.write("configuration", "error", detail=str(error))
+            self._configuration_faults.update(name, str(error))
             return
         if not self._fleet.set_routing_table(table, now()):
             return
@@ -144,11 +146,12 @@
         versions = {}
         for name in changed:
             decoded = self._dialect.decode_version(self._versions.objects[name])
+            self._version_faults.update(name, UNREADABLE if decoded is None else "")
             if decoded is None:
-                self._log.write("versions", "error", name=name, detail="unreadable")
                 continue
             model, adapter, version = decoded
             versions[f"{model}/{adapter}" if adapter else model] = version
+        self._version_faults.forget(removed)
         self._fleet.set_versions(versions, now())
         for name, version in versions.items():
             self._log.write("versions", "announced", name=name, version=version)
@@ -156,7 +159,9 @@
     def _on_evacuations(self, changed, removed):
         zones = frozenset(self._evacuations.objects)
         self._fleet.back_ends.evacuated_zones = zones
-        self._log.write("evacuations", "zones", out=sorted(zones))
+        self._log.write(
+            "evacuations", "zones", out=[shortened(z) for z in sorted(zones)]
+        )
 
 
 def _outranks_absent(former, restored):
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -28,7 +28,7 @@
 from rosemarypath.platform.servers import decode_server
 from rosemarypath.platform.settings import read_settings
 from rosemarypath.stored import StoredObject
-from tests.edgefleet import HOST, KEY, configuration
+from tests.edgefleet import HOST, KEY, ROUTES, configuration
 from tests.oddvalues import examines
 
 BACK_END = BackEnd(name="i-1", address="h:1", zone="z", kind="engine", serves="s")
@@ -47,6 +47,7 @@
     "coldRemainingMs": 1500,
     "models": [{"name": "m", "version": 1, "adapters": ["a1@2"]}],
 }
+SPLIT = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
 
 
 def test_back_end_entry_is_decoded():
@@ -136,6 +137,28 @@
         pass
 
 
+@examines(configuration(routes=[{**ROUTES[0], "trafficSplit": SPLIT}]))
+def test_any_configuration_can_be_used_or_raises_value_error(spec):
+    try:
+        table = decode_configuration(StoredObject("main", 3, spec))
+    except ValueError:
+        return
+    msgspec.msgpack.encode([table.services, list(table.customers.values())])
+    for routes in table.routes.values():
+        for route in routes:
+            found = table.find_route(route.host, route.prefix)
+            assert found.service_for("r1") and 0.0 <= found.timeout < inf
+    table.find_customer(KEY)
+
+
+@examines({"model": "m", "adapter": "a", "version": 3})
+def test_any_version_is_whole_and_of_a_named_model_or_none(spec):
+    decoded = decode_version(StoredObject("m.a", 3, spec))
+    if decoded is not None:
+        model, adapter, version = decoded
+        assert model and isinstance(adapter, str) and 0 <= version <= 2**53
+
+
 def test_longest_prefix_wins_and_keys_identify_customers():
     routes = [
         {"name": "all", "pathPrefix": "/", "kind": "safe"},
--- a/tests/test_platformsync.py
+++ b/tests/test_platformsync.py
@@ -13,6 +13,7 @@
 from rosemarypath.platform.dialect import PlatformDialect
 from rosemarypath.platformsync import PlatformSync
 from rosemarypath.stored import StoredObject
+from tests.edgefleet import configuration
 
 SERVER = {
     "service": "s",
@@ -107,3 +108,30 @@
     assert follower.fleet.back_ends.states == {}
     assert follower.errors("servers") == ["i1"]
     assert follower.lines.count(("servers", "removed", "i1")) == 1
+
+
+@pytest.mark.parametrize("odd", [10**400, "x" * 100_000, {"x" * 100_000: 1}, None])
+def test_an_unreadable_configuration_leaves_the_former_in_force(follower, odd):
+    follower.write("config", main=configuration(4))
+    follower.write("config", main={**configuration(5), "routes": [odd]})
+    follower.write("config", other={})
+    assert follower.fleet.table.version == 4
+    assert follower.errors("configuration") == ["main"]
+    follower.write("config", main={**configuration(6), "tenants": odd or 7})
+    assert follower.errors("configuration") == ["main", "main"]
+    follower.write("config", main=configuration(7))
+    assert follower.fleet.table.version == 7
+
+
+def test_an_unreadable_version_is_named_once_and_costs_no_other(follower):
+    odd = {"model": "m", "adapter": "a", "version": 10**400}
+    for number in (2, 3):
+        sound = {"model": "m", "adapter": "b", "version": number}
+        follower.write("versions", odd=odd, sound=sound)
+        assert follower.fleet.versions == {"m/b": number}
+    assert follower.errors("versions") == ["odd"]
+
+
+def test_an_evacuation_counts_by_its_name_whatever_it_contains(follower):
+    follower.write("evacuations", z1=None, z2={"odd": [[]]})
+    assert follower.fleet.back_ends.evacuated_zones == {"z1", "z2"}
