Check each field of the entries of other machines

What callers saw: nothing yet; found by a test with odd fields. A machine's entry with a zone that is no text raised TypeError when machines were sorted into groups, which ended the daemon that read it; a peers' address without a usable port did so at the first message to that machine. The line that names an unreadable entry came again with each change of any entry.

Now an entry is used only if every field has its type and the peers' address a port to connect to; else the machine counts as not registered, and is named once. A daemon whose own entry is unreadable writes it again, as before.

Tests: tests/test_registration.py, two; before the change both failed, one with TypeError, one without a line for the port 99999.

--- a/rosemarypath/registration.py
+++ b/rosemarypath/registration.py
@@ -9,6 +9,7 @@
 
 from rosemarypath.clock import lease_now, now
 from rosemarypath.errors import NotFoundError, RosemarypathError
+from rosemarypath.faultlog import FaultLog
 from rosemarypath.hashing import rendezvous_order
 from rosemarypath.machine import Machine
 
@@ -18,6 +19,12 @@
 REGISTRATION_RETRY_SECONDS = 0.3  # between two attempts to register
 REMOVAL_TIMEOUT_SECONDS = 12.0  # longer than the restart of a machine
 
+TEXT_FIELDS = ["incarnation", "zone", "callers", "peers"]
+MAX_TEXT_LENGTH = 1024
+MAX_BANDWIDTH = 1e9  # Mbit/s
+MAX_PORT_DIGITS = 5
+MAX_PORT = 65535
+
 
 class Registration:
     """
@@ -42,6 +49,7 @@
         self._peers = peers
         self._mesh = mesh
         self._log = log
+        self._faults = FaultLog(log, "peers")
         self._mirror = store_cache.add(
             MACHINE_KIND, self._on_machines, self._outranks_entry
         )
@@ -104,10 +112,10 @@
         machines = []
         for stored in self._mirror.objects.values():
             machine = _decode_machine(stored)
-            if machine is None:
-                self._log.write("peers", "error", name=stored.name, detail="unreadable")
-            else:
+            self._faults.update(stored.name, "unreadable" if machine is None else "")
+            if machine is not None:
                 machines.append(machine)
+        self._faults.forget(removed)
         for machine in self._peers.set_machines(machines, now(), lease_now()):
             self._mesh.set_address(machine.identity, machine.peers_address)
             self._log.write("peers", "seen", name=machine.name)
@@ -133,14 +141,32 @@
 def _decode_machine(stored):
     """Return the `Machine` of an entry, or ``None`` if it is malformed."""
     spec = stored.spec
-    try:
-        return Machine(
-            name=stored.name,
-            incarnation=spec["incarnation"],
-            zone=spec["zone"],
-            callers_address=spec["callers"],
-            peers_address=spec["peers"],
-            bandwidth=float(spec.get("bandwidth", 0.0)),
-        )
-    except (KeyError, TypeError, ValueError):
+    if not isinstance(spec, dict):
+        return None
+    texts = [stored.name, *(spec.get(field) for field in TEXT_FIELDS)]
+    if not all(_is_text(text) for text in texts) or not _is_address(spec["peers"]):
+        return None
+    bandwidth = spec.get("bandwidth", 0.0)
+    is_number = isinstance(bandwidth, (int, float)) and not isinstance(bandwidth, bool)
+    if not is_number or not 0 <= bandwidth <= MAX_BANDWIDTH:
         return None
+    return Machine(
+        name=stored.name,
+        incarnation=spec["incarnation"],
+        zone=spec["zone"],
+        callers_address=spec["callers"],
+        peers_address=spec["peers"],
+        bandwidth=float(bandwidth),
+    )
+
+
+def _is_text(value):
+    is_short = isinstance(value, str) and len(value) <= MAX_TEXT_LENGTH
+    return is_short and value.isprintable()
+
+
+def _is_address(value):
+    """Return whether a text is ``host:port`` with a port to connect to."""
+    host, _, port = value.rpartition(":")
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    return bool(host) and is_number and 0 < int(port) <= MAX_PORT
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -2,7 +2,8 @@
 tests.test_registration
 ~~~~~~~~~~~~~~~~~~~~~~~
 
-Removal of silent machines from the registration: which, when and by whom.
+Removal of silent machines from the registration: which, when and by whom; and
+entries of machines that cannot be read.
 """
 
 import asyncio
@@ -22,6 +23,7 @@
     Registration,
 )
 from rosemarypath.stored import StoredObject
+from tests.oddvalues import odd_documents
 
 NAMES = ["a", "b", "c"]
 
@@ -52,19 +54,38 @@
         self.now = 0.0
         monkeypatch.setattr(registration, "now", lambda: self.now)
         self.store = FakeStore()
+        self.mesh = SimpleNamespace(
+            set_address=lambda identity, address: None,
+            retain_peers=lambda identities: None,
+        )
         self.lines = []
         self.peers = Peers(machine(own), 0.0, 0.0)
         self.peers.set_machines([machine(name) for name in NAMES], 0.0, 0.0)
-        mirror = Mirror(MACHINE_KIND, lambda changed, removed: None)
-        mirror.replace([StoredObject(name, 5, {}) for name in NAMES], 9)
-        store_cache = SimpleNamespace(add=lambda kind, on_change, outranks: mirror)
+        self.mirror = Mirror(MACHINE_KIND, self.on_change)
+        self.on_machines = None
+        self.mirror.replace([StoredObject(name, 5, {}) for name in NAMES], 9)
+        store_cache = SimpleNamespace(add=self.add_mirror)
         log = SimpleNamespace(
             write=lambda part, event, **fields: self.lines.append((event, fields))
         )
         self.registration = Registration(
-            machine(own), self.store, store_cache, self.peers, None, log
+            machine(own), self.store, store_cache, self.peers, self.mesh, log
         )
 
+    def add_mirror(self, kind, on_machines, outranks):
+        self.on_machines = on_machines
+        return self.mirror
+
+    def on_change(self, changed, removed):
+        if self.on_machines is not None:
+            self.on_machines(changed, removed)
+
+    def write(self, **specs):
+        """Write entries of machines, all in one change."""
+        revision = self.mirror.revision + 1
+        events = [(StoredObject(n, revision, s), False) for n, s in specs.items()]
+        self.mirror.apply(events, revision)
+
     def receive_heartbeat(self, name):
         self.peers.by_name[name].heard_at = self.now
 
@@ -118,3 +139,33 @@
     remover_of_c.receive_heartbeat(remover_of_c.other)
     remover_of_c.remove_silent_machines(REMOVAL_TIMEOUT_SECONDS + 1.0)
     assert remover_of_c.lines[-1] == ("lost", {"name": "c", "why": "changed"})
+
+
+ENTRY = {
+    "incarnation": "2",
+    "zone": "z",
+    "callers": "10.0.0.1:80",
+    "peers": "10.0.0.1:81",
+    "bandwidth": 10.0,
+}
+
+
+def test_any_entry_gives_a_machine_that_can_be_called_or_none(monkeypatch):
+    register = Register("a", monkeypatch)
+    for odd in odd_documents(ENTRY):
+        register.write(b=odd, c=ENTRY)
+        assert "c" in register.peers.by_name
+        peer = register.peers.by_name.get("b")
+        if peer is not None:
+            assert 0 < int(peer.machine.peers_address.rpartition(":")[2]) < 65536
+            assert peer.machine.identity.encode() and peer.machine.bandwidth < 1e15
+
+
+def test_an_unreadable_entry_of_a_machine_is_named_once(monkeypatch):
+    register = Register("a", monkeypatch)
+    odd = {**ENTRY, "peers": "10.0.0.1:99999"}
+    register.write(a=ENTRY, b=odd, c=ENTRY)
+    register.write(c={**ENTRY, "incarnation": "3"})
+    errors = [fields["name"] for event, fields in register.lines if event == "error"]
+    assert errors == ["b"]
+    assert set(register.peers.by_name) == {"c"}
