Check the numbers in reports of engines, and test odd leases

What callers saw: nothing yet; found by a test with any document. A report nested 5000 times raised RecursionError in the task that reads reports, which ended the daemon; counts of 400 digits or below zero were taken.

Now such a report counts as unreadable, as one of another syntax did before.

Tests: tests/test_platform_formats.py; before the change six of them failed (RecursionError three times, counts out of range). Objects of leases with odd content needed no change: tests/test_engineleases.py shows that the lease can be acquired again whatever it contains.

--- a/rosemarypath/platform/engine.py
+++ b/rosemarypath/platform/engine.py
@@ -11,7 +11,9 @@
 import msgspec
 
 from rosemarypath.errors import ConnectError, ResponseError
+from rosemarypath.platform.documents import decode_document
 from rosemarypath.platform.feedback import decode_feedback
+from rosemarypath.platform.fields import require_list, whole
 from rosemarypath.platform.servers import decode_models, split_version
 
 __all__ = ["EngineClient", "EngineReport", "OrderResult"]
@@ -179,19 +181,20 @@
     adapters being loaded as NAME@VERSION, ``born`` is the start in Unix milliseconds.
     """
     try:
-        document = msgspec.json.decode(body)
+        document = decode_document(body)
+        if not isinstance(document, dict) or not isinstance(document["models"], list):
+            return None
+        coming = require_list(document.get("coming"))
         return EngineReport(
             models=decode_models(document["models"]),
-            loading_adapters=dict(
-                split_version(text) for text in document.get("coming") or ()
-            ),
-            order_count=int(document["sequence"]),
+            loading_adapters=dict(split_version(text) for text in coming),
+            order_count=whole(document["sequence"]),
             is_busy=bool(document.get("busy", False)),
-            running=int(document.get("running", 0)),
-            waiting=int(document.get("waiting", 0)),
-            kv_used=int(document.get("kvUsed", 0)),
-            kv_total=int(document.get("kvTotal", 0)),
-            started_at_ms=int(document.get("born") or 0),
+            running=whole(document.get("running", 0)),
+            waiting=whole(document.get("waiting", 0)),
+            kv_used=whole(document.get("kvUsed", 0)),
+            kv_total=whole(document.get("kvTotal", 0)),
+            started_at_ms=whole(document.get("born") or 0),
         )
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError, AttributeError):
+    except (msgspec.DecodeError, KeyError, ValueError):
         return None
--- a/tests/test_engineleases.py
+++ b/tests/test_engineleases.py
@@ -19,6 +19,7 @@
 from rosemarypath.peermessages import PeerState
 from rosemarypath.peers import Peers
 from rosemarypath.stored import StoredObject, era_of, position, revision_of
+from tests.oddvalues import odd_documents
 
 LEASE = 3.0
 
@@ -301,3 +302,19 @@
     node.mirror.replace([StoredObject("engine", 5, spec)], 6)
     assert node.leases.find("engine") is None
     assert node.leases.fencing_token("engine", 1.0) == 0
+
+
+def test_any_lease_can_be_replaced_after_its_holder_was_silent():
+    for spec in odd_documents({"machine": "b", "before": "c", "era": 1}):
+        store = MemoryStore()
+        store.revision = position(1, 6)
+        store.objects["engine"] = StoredObject("engine", position(1, 5), spec)
+        node = Node("a", ["a", "b"], store, 0.0)
+
+        async def run():
+            for second in range(10):
+                await node.step(float(second))
+
+        asyncio.run(run())
+        assert node.leases.find("engine").machine == "a", spec
+        assert node.leases.fencing_token("engine", 30.0) >= 0
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -29,7 +29,7 @@
 from rosemarypath.platform.settings import read_settings
 from rosemarypath.stored import StoredObject
 from tests.edgefleet import HOST, KEY, ROUTES, configuration
-from tests.oddvalues import examines
+from tests.oddvalues import ODD_TEXTS, examines
 
 BACK_END = BackEnd(name="i-1", address="h:1", zone="z", kind="engine", serves="s")
 ANYTHING = st.recursive(
@@ -159,6 +159,34 @@
         assert model and isinstance(adapter, str) and 0 <= version <= 2**53
 
 
+REPORT = {
+    "models": SERVER["models"],
+    "coming": ["a2@3"],
+    "sequence": 2,
+    "busy": False,
+    "running": 1,
+    "waiting": 0,
+    "kvUsed": 10,
+    "kvTotal": 100,
+    "born": 17,
+}
+
+
+@examines(REPORT)
+def test_any_report_of_an_engine_gives_counts_or_none(document):
+    report = decode_report(msgspec.json.encode(document))
+    if report is not None:
+        msgspec.msgpack.encode(report)
+        assert min(report.order_count, report.running, report.kv_total) >= 0
+
+
+@pytest.mark.parametrize("text", ODD_TEXTS.values(), ids=ODD_TEXTS)
+def test_a_report_of_odd_json_is_none(text):
+    assert decode_report(text) is None
+    body = msgspec.json.encode({**REPORT, "sequence": msgspec.Raw(text)})
+    assert decode_report(body) is None
+
+
 def test_longest_prefix_wins_and_keys_identify_customers():
     routes = [
         {"name": "all", "pathPrefix": "/", "kind": "safe"},
