Let an unreadable message of a peer cost only that message

What callers saw: nothing yet; found by tests with odd batches. A batch that was nested too deeply, also in a field that this version does not know, raised RecursionError and closed the connection. A sender's address without a usable port raised ValueError in the task that sent the next message to it, which ended the daemon; a host that cannot be a name ended the link's task, so that nothing was sent to this peer any more. Packed entries of another form raised TypeError and IndexError in the handler, and any exception of a handler closed the connection with the messages behind it.

Now such a batch, address or message is ignored, counted, and logged once; the link is kept. Packed entries are checked as entries that are not packed.

--- a/rosemarypath/link.py
+++ b/rosemarypath/link.py
@@ -21,6 +21,7 @@
 
 from rosemarypath.frames import NOT_TOLD, Batch, Frame
 from rosemarypath.log import get_logger
+from rosemarypath.machine import is_address
 
 __all__ = ["Link", "Mesh"]
 
@@ -29,6 +30,8 @@
 MAX_BATCH_FRAMES = 200
 MAX_BATCH_BYTES = 16 * 1024 * 1024  # a larger batch closes the connection
 MAX_SEND_BUFFER_BYTES = 4 * 1024 * 1024  # unsent; beyond this, messages are dropped
+MAX_WARNINGS = 100  # different ones; their texts may come from a peer
+MAX_WARNING_LENGTH = 200
 LENGTH = struct.Struct(">I")  # sent before each batch: its size in bytes
 
 _log = get_logger("link")
@@ -120,7 +123,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 _, self._writer = await asyncio.open_connection(self._host, self._port)
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:
             _log.debug("connecting to {} failed: {!r}", self.identity, error)
             return False
         return True
@@ -243,6 +246,7 @@
         self._server = None
         self._open_transports = set()
         self._tasks = set()
+        self._warnings = set()
         self.identity = identity
         self.counts = Counter()
 
@@ -375,8 +379,9 @@
         self.counts["bytes_received"] += len(data)
         try:
             batch = self._decoder.decode(data)
-        except msgspec.DecodeError as error:
-            _log.warning("ignoring a batch that cannot be decoded: {}", error)
+        except (msgspec.DecodeError, ValueError, RecursionError) as error:
+            self.counts["unreadable"] += 1
+            self._warn_once("a batch that cannot be decoded", str(error))
             return
         self._deliver_batch(batch)
 
@@ -384,7 +389,10 @@
         if batch.receiver != self.identity:
             self.counts["stale_receiver"] += 1
             return
-        self._addresses[batch.sender] = batch.sender_address
+        if is_address(batch.sender_address):
+            self._addresses[batch.sender] = batch.sender_address
+        else:
+            self._warn_once(f"the address of {batch.sender}", "no host:port")
         self._record_numbers(batch)
         for frame in batch.frames:
             self._deliver_frame(batch.sender, frame)
@@ -410,7 +418,11 @@
         handler = self._handlers.get(type(frame.body))
         if handler is None:
             return
-        result = handler(sender, frame.body)
+        try:
+            result = handler(sender, frame.body)
+        except Exception as error:
+            self._note_failed_message(sender, frame, error)
+            return
         if asyncio.iscoroutine(result):
             task = asyncio.create_task(self._send_reply(sender, frame, result))
             self._tasks.add(task)
@@ -419,6 +431,23 @@
             self._enqueue_frame(sender, Frame(0, frame.number, result))
 
     async def _send_reply(self, sender, frame, coroutine):
-        result = await coroutine
+        try:
+            result = await coroutine
+        except Exception as error:
+            self._note_failed_message(sender, frame, error)
+            return
         if result is not None and frame.number:
             self._enqueue_frame(sender, Frame(0, frame.number, result))
+
+    def _note_failed_message(self, sender, frame, error):
+        """Count and log a message whose handler failed; the link is kept."""
+        self.counts["failed_messages"] += 1
+        kind = type(frame.body).__name__
+        self._warn_once(f"a message {kind} of {sender}", repr(error))
+
+    def _warn_once(self, what, why):
+        """Log that something received is ignored, unless that was logged before."""
+        warning = f"ignoring {what}: {why}"[:MAX_WARNING_LENGTH]
+        if warning not in self._warnings and len(self._warnings) < MAX_WARNINGS:
+            self._warnings.add(warning)
+            _log.warning("{}", warning)
--- a/rosemarypath/machine.py
+++ b/rosemarypath/machine.py
@@ -9,10 +9,13 @@
 
 import msgspec
 
-__all__ = ["DRAINING", "UP", "Machine", "new_incarnation"]
+__all__ = ["DRAINING", "UP", "Machine", "is_address", "new_incarnation"]
 
 UP = "up"
 DRAINING = "draining"
+MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
+MAX_ADDRESS_LENGTH = 1024
 
 
 class Machine(msgspec.Struct, frozen=True, kw_only=True):
@@ -57,3 +60,16 @@
 def new_incarnation():
     """Return a random identifier for one start of a daemon."""
     return secrets.token_hex(4)
+
+
+def is_address(text):
+    """
+    Return whether a text is ``host:port`` with a port to connect to.
+
+    >>> is_address("10.0.0.1:80"), is_address("10.0.0.1:99999")
+    (True, False)
+    """
+    host, _, port = text.rpartition(":")
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    is_host = host.isprintable() and 0 < len(text) <= MAX_ADDRESS_LENGTH
+    return bool(host) and is_host and is_number and 0 < int(port) <= MAX_PORT
--- a/rosemarypath/packing.py
+++ b/rosemarypath/packing.py
@@ -39,8 +39,8 @@
     return zlib.compress(encoded, COMPRESSION_LEVEL)
 
 
-def unpack(data):
-    """Return the list that was packed; raises `UnpackError`."""
+def unpack(data, entry_type=object):
+    """Return the list of `entry_type` that was packed; raises `UnpackError`."""
     try:
         decompressor = zlib.decompressobj()
         encoded = decompressor.decompress(data, MAX_UNPACKED_BYTES)
@@ -49,8 +49,8 @@
                 f"packed message is cut or over {MAX_UNPACKED_BYTES} bytes",
                 "ask another daemon for a snapshot",
             )
-        return msgspec.msgpack.decode(encoded, type=list)
-    except (zlib.error, msgspec.DecodeError) as error:
+        return msgspec.msgpack.decode(encoded, type=list[entry_type])
+    except (zlib.error, msgspec.DecodeError, RecursionError) as error:
         raise UnpackError(
             f"packed message is not readable ({error})",
             "ask another daemon for a snapshot",
--- a/rosemarypath/peermessages.py
+++ b/rosemarypath/peermessages.py
@@ -10,6 +10,7 @@
 from rosemarypath.messages import Message
 
 __all__ = [
+    "EventEntry",
     "FreshnessAsk",
     "FreshnessReply",
     "GroupDigest",
@@ -21,12 +22,17 @@
     "MirrorAsk",
     "MirrorEvents",
     "MirrorSnapshot",
+    "ObjectEntry",
     "PeerState",
     "SendAsk",
     "SendReply",
 ]
 
 
+ObjectEntry = tuple[str, int, object]  # name, version and content
+EventEntry = tuple[str, int, object, bool]  # the same, and whether it was removed
+
+
 class PeerState(Message):
     """
     Heartbeat of one daemon to one peer.
@@ -217,7 +223,7 @@
 
     kind: str
     revision: int
-    objects: list[tuple[str, int, object]]
+    objects: list[ObjectEntry]
     packed: bytes = b""
 
 
@@ -234,7 +240,7 @@
     since: int
     revision: int
     reachable_seconds: float
-    events: list[tuple[str, int, object, bool]]
+    events: list[EventEntry]
     packed: bytes = b""
 
 
--- a/rosemarypath/registration.py
+++ b/rosemarypath/registration.py
@@ -11,7 +11,7 @@
 from rosemarypath.errors import NotFoundError, RosemarypathError
 from rosemarypath.faultlog import FaultLog
 from rosemarypath.hashing import rendezvous_order
-from rosemarypath.machine import Machine
+from rosemarypath.machine import Machine, is_address
 
 __all__ = ["MACHINE_KIND", "Registration"]
 
@@ -22,8 +22,6 @@
 TEXT_FIELDS = ["incarnation", "zone", "callers", "peers"]
 MAX_TEXT_LENGTH = 1024
 MAX_BANDWIDTH = 1e9  # Mbit/s
-MAX_PORT_DIGITS = 5
-MAX_PORT = 65535
 
 
 class Registration:
@@ -144,7 +142,7 @@
     if not isinstance(spec, dict):
         return None
     texts = [stored.name, *(spec.get(field) for field in TEXT_FIELDS)]
-    if not all(_is_text(text) for text in texts) or not _is_address(spec["peers"]):
+    if not all(_is_text(text) for text in texts) or not is_address(spec["peers"]):
         return None
     bandwidth = spec.get("bandwidth", 0.0)
     is_number = isinstance(bandwidth, (int, float)) and not isinstance(bandwidth, bool)
@@ -163,10 +161,3 @@
 def _is_text(value):
     is_short = isinstance(value, str) and len(value) <= MAX_TEXT_LENGTH
     return is_short and value.isprintable()
-
-
-def _is_address(value):
-    """Return whether a text is ``host:port`` with a port to connect to."""
-    host, _, port = value.rpartition(":")
-    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
-    return bool(host) and is_number and 0 < int(port) <= MAX_PORT
--- a/rosemarypath/storecache.py
+++ b/rosemarypath/storecache.py
@@ -26,11 +26,13 @@
 )
 from rosemarypath.packing import UnpackError, pack, unpack
 from rosemarypath.peermessages import (
+    EventEntry,
     FreshnessAsk,
     FreshnessReply,
     MirrorAsk,
     MirrorEvents,
     MirrorSnapshot,
+    ObjectEntry,
 )
 from rosemarypath.storeavailability import StoreAvailability
 from rosemarypath.stored import StoredObject
@@ -278,12 +280,12 @@
                     receiver, smaller if packed and reads_packed else message
                 )
 
-    def _unpack(self, identity, entries, packed):
+    def _unpack(self, identity, entries, packed, entry_type):
         """Return the entries of a peer's message, ``None`` if they are unreadable."""
         if not packed:
             return entries
         try:
-            return unpack(packed)
+            return unpack(packed, entry_type)
         except UnpackError as error:
             self._log.write("store", "error", peer=identity, detail=error.message)
             return None
@@ -297,7 +299,7 @@
         if mirror.revision < message.since:
             self.request_snapshot(identity, mirror)
             return
-        entries = self._unpack(identity, message.events, message.packed)
+        entries = self._unpack(identity, message.events, message.packed, EventEntry)
         if entries is None:
             return
         events = [(StoredObject(*fields[:3]), fields[3]) for fields in entries]
@@ -325,7 +327,7 @@
         mirror = self._mirrors.get(message.kind)
         if mirror is None or mirror.is_current(message.revision):
             return
-        entries = self._unpack(identity, message.objects, message.packed)
+        entries = self._unpack(identity, message.objects, message.packed, ObjectEntry)
         if entries is None:
             return
         objects = [StoredObject(*fields) for fields in entries]
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -2,18 +2,23 @@
 tests.test_link
 ~~~~~~~~~~~~~~~
 
-Links between daemons whose connections fall silent without being closed.
+Links between daemons whose connections fall silent without being closed, and messages
+that cannot be read.
 """
 
 import asyncio
 import time
 from types import SimpleNamespace
 
+import msgspec
+import pytest
+
 from bench.ports import free_ports
 from rosemarypath.edge import LINK_TIMEOUT_SECONDS
 from rosemarypath.link import CONNECT_TIMEOUT_SECONDS, Mesh
 from rosemarypath.peermessages import LeasePing
 from standins.wire import HUSH, Wire
+from tests.oddvalues import examines
 
 SEND_INTERVAL_SECONDS = 0.05
 RECOVERY_SECONDS = LINK_TIMEOUT_SECONDS + CONNECT_TIMEOUT_SECONDS
@@ -97,3 +102,74 @@
 def steps(seconds):
     """Return how many heartbeats are sent in `seconds`."""
     return round(seconds / SEND_INTERVAL_SECONDS)
+
+
+BATCH = ["b/1", "127.0.0.1:9", "a/1", [[0, 0, ["LeasePing", 7]]], 1, 0]
+
+
+def new_mesh(received):
+    mesh = Mesh("a/1", "127.0.0.1:1")
+    mesh.on(LeasePing, new_handler(received))
+    return mesh
+
+
+@examines(BATCH)
+def test_any_batch_of_a_peer_is_delivered_or_ignored(document):
+    received = []
+    mesh = new_mesh(received)
+    try:
+        data = msgspec.msgpack.encode(document)
+    except OverflowError:
+        return
+    mesh._receive_batch(data)
+    mesh._receive_batch(msgspec.msgpack.encode(BATCH))
+    assert received[-1:] == [7]
+    assert mesh._addresses["b/1"] == "127.0.0.1:9"
+
+
+@pytest.mark.parametrize("body", [b"\x91" * 5000, b"\x81\xa1a" * 5000, b"\xa1\xff"])
+def test_a_batch_that_cannot_be_decoded_is_ignored(body):
+    received = []
+    mesh = new_mesh(received)
+    mesh._receive_batch(b"\x96" + body)
+    # A field that this version does not know is skipped, whatever it contains.
+    mesh._receive_batch(b"\x97" + msgspec.msgpack.encode(BATCH)[1:] + body + b"\x01")
+    mesh._receive_batch(msgspec.msgpack.encode(BATCH))
+    assert received[-1:] == [7]
+
+
+def test_a_message_whose_handler_fails_costs_only_that_message():
+    async def play(pair):
+        def handle(sender, ping):
+            if ping.number == 2:
+                raise KeyError("odd")
+            pair.received["b/1"].append(ping.number)
+
+        pair.second.on(LeasePing, handle)
+        await exchange(pair, range(5))
+        assert pair.received["b/1"] == [0, 1, 3, 4]
+        assert pair.second.counts["failed_messages"] == 1
+
+    run_pair(play)
+
+
+@pytest.mark.parametrize("address", ["h", "h:x", ":1", "a\0b:1", "127.0.0.1:99999"])
+def test_an_odd_address_of_a_peer_ends_neither_the_sender_nor_the_link(address):
+    async def play(pair):
+        odd = ["a/1", address, "b/1", [], 1, 0]
+        pair.second._receive_batch(msgspec.msgpack.encode(odd))
+        await exchange(pair, range(5))
+        assert pair.received["a/1"] == list(range(5))
+
+    run_pair(play)
+
+
+def test_a_link_to_an_impossible_host_tries_again():
+    async def play(pair):
+        pair.second.set_address("c/1", "x" * 100 + ".example:1")
+        for number in range(3):
+            pair.second.send("c/1", LeasePing(number))
+            await asyncio.sleep(0.15)
+        assert pair.second.counts["dropped"] == 3
+
+    run_pair(play)
--- a/tests/test_storecache.py
+++ b/tests/test_storecache.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+import zlib
 
 import msgspec
 import pytest
@@ -215,6 +216,33 @@
     assert served.copy.revision == 1
 
 
+def deeply_nested(depth):
+    """Return the MessagePack bytes of a list nested `depth` times."""
+    return b"\x91" * depth + b"\x01"
+
+
+@pytest.mark.parametrize(
+    "entries",
+    [
+        msgspec.msgpack.encode([odd])
+        for odd in (3, [], ["main"], [[], 6, 1], ["main", 6.5, 1], ["main", 6, 1, 1, 1])
+    ]
+    + [deeply_nested(5000), b"\x81\xa1a\x01"],
+)
+def test_packed_entries_of_another_form_leave_the_copy_as_it_is(objects, entries):
+    served = Daemon("m1", None)
+    served.cache.start(lambda coroutine: coroutine.close())
+    served.copy.replace([objects[1]], 1)
+    packed = zlib.compress(entries)
+    served.receive(MirrorEvents(KIND, 1, 6, 100.0, [], packed))
+    served.receive(MirrorSnapshot(KIND, 6, [], packed))
+    assert served.copy.objects == {"main": objects[1]}
+    assert [(part, event) for part, event, _ in served.log.lines] == [
+        ("store", "error"),
+        ("store", "error"),
+    ]
+
+
 def test_an_unreadable_entry_is_named_once_for_each_fault():
     daemon = Daemon("m0", None)
 
