Refuse odd settings with a remedy instead of an exception

What callers saw: nothing yet; found by tests with odd settings. A file nested too deeply raised RecursionError, a number of 400 digits OverflowError, a path with a NUL ValueError: the process ended with a traceback, and on a reload the running daemon ended. Addresses without a port and endless times were taken.

Now they raise SettingsError with a remedy, and a reload keeps the settings in force.

--- a/rosemarypath/platform/settings.py
+++ b/rosemarypath/platform/settings.py
@@ -11,11 +11,18 @@
 
 from rosemarypath.edgesettings import EdgeSettings
 from rosemarypath.errors import SettingsError
+from rosemarypath.faultlog import shortened
+from rosemarypath.machine import is_address
+from rosemarypath.platform.documents import decode_document, find_fault
+from rosemarypath.platform.fields import require_number, require_text, whole
 
 __all__ = ["SETTINGS_VARIABLE", "read_settings"]
 
 SETTINGS_VARIABLE = "ROSEMARYPATH_CONFIG"
 MS_PER_SECOND = 1000.0
+MAX_MBPS = 1e9
+DECODING_ERRORS = (KeyError, TypeError, ValueError, IndexError, AttributeError)
+LISTENERS = ["front", "ready", "directory"]
 
 
 def read_settings(path=None):
@@ -27,10 +34,11 @@
     path = path or os.environ.get(SETTINGS_VARIABLE, "")
     try:
         with open(path, "rb") as file:
-            document = msgspec.json.decode(file.read())
-    except OSError as error:
+            document = decode_document(file.read())
+    except (OSError, ValueError) as error:
+        reason = getattr(error, "strerror", None) or str(error)
         raise SettingsError(
-            f"settings file '{path}': {error.strerror}",
+            f"settings file '{path}': {reason}",
             f"set {SETTINGS_VARIABLE} to the path of a readable file",
         ) from error
     except msgspec.DecodeError as error:
@@ -44,9 +52,10 @@
     """Return the `EdgeSettings` in a parsed settings file; raises `SettingsError`."""
     try:
         return _decode_document(document)
-    except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         raise SettingsError(
-            f"a field of the settings is missing or has a wrong type ({error!r})",
+            "a field of the settings is missing or has a wrong type or value "
+            f"({shortened(repr(error))})",
             "compare them with docs/settings.md",
         ) from error
 
@@ -56,28 +65,49 @@
     bounds = document.get("bounds") or {}
     limits = document.get("limits") or {}
     ports = document["portRange"]
+    front, ready, directory = (
+        _require_address(listen[name]) if listen.get(name) else "" for name in LISTENERS
+    )
     return EdgeSettings(
-        machine=document["nodeName"],
-        zone=document["zone"],
-        region=document.get("region", ""),
-        zones=dict(document.get("zones") or {}),
-        callers_address=listen.get("front", ""),
-        readiness_address=listen.get("ready", ""),
-        directory_address=listen.get("directory", ""),
-        peers_address=f"{document['ip']}:{int(ports[0])}",
-        store_address=document["platform"]["address"],
-        lease=bounds.get("leaseMs", 3000) / MS_PER_SECOND,
-        stop_grace=float(bounds.get("graceS", 8)),
+        machine=require_text(document["nodeName"]),
+        zone=require_text(document["zone"]),
+        region=_optional_text(document.get("region")),
+        zones=_decode_zones(document),
+        callers_address=front,
+        readiness_address=ready,
+        directory_address=directory,
+        peers_address=_require_address(f"{document['ip']}:{whole(ports[0])}"),
+        store_address=_require_address(document["platform"]["address"]),
+        lease=require_number(bounds.get("leaseMs", 3000)) / MS_PER_SECOND,
+        stop_grace=require_number(bounds.get("graceS", 8)),
         # "heartbeatMs" is the renewal period of the back ends' entries, not the period
         # of the daemons' heartbeats.
-        entry_renewal=document.get("heartbeatMs", 1200) / MS_PER_SECOND,
-        drain=bounds.get("drainMs", 2000) / MS_PER_SECOND,
-        retry_ratio=float(bounds.get("retryBudgetRatio", 0.2)),
-        retry_slack=float(bounds.get("retryBudgetSlack", 50)),
-        retry_window=float(bounds.get("budgetWindowS", 10)),
-        cold_factor=float(bounds.get("coldOver", 1.5)),
-        version_bound=bounds.get("version_ms", 5000) / MS_PER_SECOND,
+        entry_renewal=require_number(document.get("heartbeatMs", 1200)) / MS_PER_SECOND,
+        drain=require_number(bounds.get("drainMs", 2000)) / MS_PER_SECOND,
+        retry_ratio=require_number(bounds.get("retryBudgetRatio", 0.2)),
+        retry_slack=require_number(bounds.get("retryBudgetSlack", 50)),
+        retry_window=require_number(bounds.get("budgetWindowS", 10)),
+        cold_factor=require_number(bounds.get("coldOver", 1.5)),
+        version_bound=require_number(bounds.get("version_ms", 5000)) / MS_PER_SECOND,
         checks_fences=bool(bounds.get("requireFence", False)),
-        address_lifetime=float(bounds.get("ttl_max_s", 5)),
-        bandwidth=float(limits.get("bandwidthMbps") or 0.0),
+        address_lifetime=require_number(bounds.get("ttl_max_s", 5)),
+        bandwidth=require_number(limits.get("bandwidthMbps") or 0.0, MAX_MBPS),
     )
+
+
+def _decode_zones(document):
+    """Return a dictionary that maps the names of zones to their regions."""
+    zones = document.get("zones") or {}
+    if not isinstance(zones, dict) or find_fault(zones):
+        raise ValueError("expected zones with their regions")
+    return zones
+
+
+def _optional_text(value):
+    return require_text(value) if value else ""
+
+
+def _require_address(value):
+    if not is_address(require_text(value)):
+        raise ValueError("expected host:port")
+    return value
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -18,6 +18,7 @@
 from rosemarypath.demand import BadRequestError
 from rosemarypath.errors import SettingsError
 from rosemarypath.httpclient import Reply
+from rosemarypath.machine import is_address
 from rosemarypath.platform.configuration import decode_configuration, decode_version
 from rosemarypath.platform.engine import decode_report
 from rosemarypath.platform.requests import (
@@ -29,7 +30,7 @@
 from rosemarypath.platform.settings import read_settings
 from rosemarypath.stored import StoredObject
 from tests.edgefleet import HOST, KEY, ROUTES, configuration
-from tests.oddvalues import ODD_TEXTS, examines
+from tests.oddvalues import ODD_TEXTS, examines, odd_documents
 
 BACK_END = BackEnd(name="i-1", address="h:1", zone="z", kind="engine", serves="s")
 ANYTHING = st.recursive(
@@ -304,6 +305,56 @@
     assert found.lease == 2.5
 
 
+SETTINGS = {
+    "nodeName": "edge-1",
+    "ip": "10.0.0.1",
+    "zone": "z",
+    "region": "r",
+    "zones": {"z": "r"},
+    "listen": {"front": "10.0.0.1:1", "ready": "", "directory": "10.0.0.1:2"},
+    "portRange": [7600, 7615],
+    "platform": {"address": "10.0.0.9:1"},
+    "heartbeatMs": 800,
+    "bounds": {"drainMs": 1500, "version_ms": 4000, "graceS": 8},
+    "limits": {"bandwidthMbps": 10},
+}
+
+
+def is_read(path):
+    """Return whether settings are read from a file, instead of a `SettingsError`."""
+    try:
+        found = read_settings(str(path))
+    except SettingsError as error:
+        assert error.remedy and len(str(error)) < 1000
+        return False
+    assert is_address(found.store_address) and is_address(found.peers_address)
+    times = (found.lease, found.drain, found.stop_grace, found.entry_renewal)
+    assert all(0.0 <= seconds < inf for seconds in times)
+    return True
+
+
+def test_odd_settings_are_read_or_rejected_with_a_remedy(tmp_path):
+    path = tmp_path / "settings.json"
+    for document in odd_documents(SETTINGS):
+        path.write_bytes(msgspec.json.encode(document))
+        is_read(path)
+    path.write_bytes(msgspec.json.encode(SETTINGS))
+    assert is_read(path)
+
+
+@pytest.mark.parametrize("text", ODD_TEXTS.values(), ids=ODD_TEXTS)
+def test_settings_of_odd_json_are_rejected_with_a_remedy(tmp_path, text):
+    path = tmp_path / "settings.json"
+    document = {**SETTINGS, "heartbeatMs": msgspec.Raw(text)}
+    for content in (text, msgspec.json.encode(document)):
+        path.write_bytes(content)
+        assert not is_read(path)
+
+
+def test_an_impossible_path_of_the_settings_is_rejected_with_a_remedy():
+    assert not is_read("a\0b")
+
+
 WIRE_NAMES = re.compile(
     r"X-Attempt-Id|X-Expect-Instance|X-Not-Executed|X-Token-Usage|X-Deadline-Ms"
     r"|X-Tenant|X-Model|X-Request-Priority|X-Response-Signature|X-Weight-Versions"
