Refuse a whole request that crashes the back ends that run it

Cause: only shared parts of a prompt were suspects, and requests of plain services have none. In a large fleet a daemon reported the 64 newest suspects; the sound requests that each crash broke off displaced the guilty one before two of its crashes met at any daemon.

A digest of method, path, customer, body, adapter and prompt is now one more suspect. It is computed once a request, and only while there are suspects or after a crash. Three crashes without an answer block it, one more while another request shares all of them; such requests run in turn. A part whose crashes one request explains is blocked for 5 s only. A connection lost inside a whole answer counts as a crash if the back end refuses connections.

Reports hold suspects of several crashes first, then those of which something was learned within 2 s, then a few others; all three are bounded. Which crash is explained by which suspect is computed when evidence changes, not for each request.

The stand-in announces a replica again after a crash, as the platform does.

--- a/rosemarypath/demand.py
+++ b/rosemarypath/demand.py
@@ -36,8 +36,9 @@
         Prompt length, and the maximum of tokens to generate.
     `last_event`
         Identifier of the event after which to resume a stream; empty for a new one.
-    `shared_parts`
-        Identifiers of the parts of the prompt that other requests may share.
+    `shared_parts`, `own_part`
+        Identifiers of the parts of the prompt that other requests may share, and of the
+        last one, which belongs to the request alone.
     """
 
     request_id: str
@@ -49,6 +50,7 @@
     output_tokens: int = 0
     last_event: bytes = b""
     shared_parts: tuple = ()
+    own_part: str = ""
 
     @property
     def adapter_key(self):
--- a/rosemarypath/explaining.py
+++ b/rosemarypath/explaining.py
@@ -19,6 +19,7 @@
     "stopping": "the daemon was stopping and no longer accepted requests",
     "no_back_end": "no back end of the service was in service",
     "cannot_load": "no engine could load the adapter: see the loads above",
+    "blocked_request": "back ends crashed under this request, see suspect",
     "blocked_prompt": "engines crashed under a part of its prompt, see prompt_part",
     "no_place_in_time": "on every engine too many adapters were waiting for a place",
     "all_tried_or_cold": "every back end that may run it was tried or is cold",
@@ -205,7 +206,10 @@
     if last.get("stage") == "holder":
         return f"it waited {waited} for an engine that could load its adapter"
     if last.get("stage") == "quarantine":
-        return f"it waited {waited} as engines had crashed under a part of its prompt"
+        return (
+            f"it waited {waited} as back ends had crashed under a part of its prompt, "
+            "or under it"
+        )
     if last.get("stage") == "send" and last.get("events"):
         count = last["events"]
         return f"{last['back_end']} had sent {count} events {waited} after the request"
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -10,6 +10,7 @@
 from rosemarypath.clock import now
 from rosemarypath.outcome import NotRun, Unknown
 from rosemarypath.scheduling.choice import ChoiceFacts, Refusal, choose_back_end
+from rosemarypath.scheduling.quarantine import CLEAR
 from rosemarypath.sending import LIMITED, WITHDRAWN, Sender
 
 __all__ = ["Forwarder"]
@@ -106,8 +107,8 @@
             at = now()
             if context.remaining(at) <= 0.0:
                 return _timeout_outcome(context)
-            verdict = self._fleet.quarantine.verdict(context.demand.shared_parts, at)
-            if verdict.blocked_part:
+            verdict = self._verdict(context, at)
+            if verdict.blocked_suspect:
                 outcome = _blocked_outcome(verdict)
                 return self._final_outcome(context, outcome, connection)
             if verdict.seconds > 0.0:
@@ -136,6 +137,13 @@
             if outcome.code == "rejected":
                 await asyncio.sleep(RESEND_PAUSE_SECONDS)
 
+    def _verdict(self, context, at):
+        """Return the `Verdict` on the request; its body is hashed only if needed."""
+        quarantine = self._fleet.quarantine
+        if not quarantine.has_suspects:
+            return CLEAR
+        return quarantine.verdict(context.suspects, at)
+
     def _should_wait_for_load(self, context, refusal, at):
         """Return whether an engine may be able to load again in time."""
         if refusal.reason != "cannot_load" or context.load_patience <= 0.0:
@@ -173,7 +181,7 @@
         """
         if context.sends >= MAX_SENDS:
             return False
-        if self._fleet.quarantine.verdict(context.demand.shared_parts, now()).is_held:
+        if self._verdict(context, now()).is_held:
             return False
         silent = context.excluded_after_failure(context.tried[-1])
         choice = self._choose_back_end(context, now(), silent)
@@ -283,7 +291,17 @@
 
 
 def _blocked_outcome(verdict):
-    facts = (("prompt_part", verdict.blocked_part), ("crashes", verdict.crashes))
+    if verdict.is_request:
+        return NotRun(
+            503,
+            "blocked_request",
+            "the request crashes back ends",
+            log_fields=(
+                ("suspect", verdict.blocked_suspect),
+                ("crashes", verdict.crashes),
+            ),
+        )
+    facts = (("prompt_part", verdict.blocked_suspect), ("crashes", verdict.crashes))
     return NotRun(
         503,
         "blocked_prompt",
--- a/rosemarypath/hashing.py
+++ b/rosemarypath/hashing.py
@@ -2,14 +2,19 @@
 rosemarypath.hashing
 ~~~~~~~~~~~~~~~~~~~~
 
-Rendezvous hashing: a stable order of the candidates for each resource.
+Rendezvous hashing, a stable order of the candidates for each resource, and digests.
 """
 
 import xxhash
 
 from rosemarypath.zone import interleave_zones
 
-__all__ = ["rendezvous_order", "rendezvous_score", "zone_interleaved_order"]
+__all__ = [
+    "digest_fields",
+    "rendezvous_order",
+    "rendezvous_score",
+    "zone_interleaved_order",
+]
 
 
 def rendezvous_score(resource, candidate):
@@ -40,3 +45,12 @@
         items, key=lambda i: rendezvous_score(resource, name_of(i)), reverse=True
     )
     return interleave_zones(ordered, zone_of)
+
+
+def digest_fields(*fields):
+    """Return a digest of byte strings as 16 hexadecimal digits."""
+    digest = xxhash.xxh3_64()
+    for field in fields:
+        digest.update(len(field).to_bytes(8, "big"))
+        digest.update(field)
+    return digest.hexdigest()
--- a/rosemarypath/platform/requests.py
+++ b/rosemarypath/platform/requests.py
@@ -80,6 +80,7 @@
         raise BadRequestError("the request has no id", "send X-Attempt-Id")
     model, _, adapter = values.get(MODEL, b"").decode("latin-1").partition("/")
     prompt, output = _parse_token_usage(values.get(TOKEN_USAGE))
+    parts = _parse_prompt_parts(values.get(PROMPT_PREFIX, b""))
     return Demand(
         request_id=request,
         deadline=_parse_deadline(values.get(DEADLINE)),
@@ -89,7 +90,8 @@
         prompt_tokens=prompt,
         output_tokens=output,
         last_event=values.get(LAST_EVENT, b""),
-        shared_parts=_parse_shared_parts(values.get(PROMPT_PREFIX, b"")),
+        shared_parts=parts[:-1][:MAX_SHARED_PARTS],
+        own_part=parts[-1],
     )
 
 
@@ -178,13 +180,13 @@
     return value[len(BEARER_PREFIX) :].strip().decode("latin-1")
 
 
-def _parse_shared_parts(value):
+def _parse_prompt_parts(value):
     """
-    Return the identifiers in a header ``ID:TOKENS,...``, without the last one.
+    Return the identifiers in a header ``ID:TOKENS,...``; the last may be empty.
 
     The last part belongs to the request alone.
     """
-    parts = value.decode("latin-1").lower().split(",")[:-1][:MAX_SHARED_PARTS]
+    parts = value.decode("latin-1").lower().split(",")
     return tuple(part.partition(":")[0].strip() for part in parts)
 
 
--- a/rosemarypath/requestcontext.py
+++ b/rosemarypath/requestcontext.py
@@ -6,11 +6,16 @@
 """
 
 from dataclasses import dataclass, field
+from functools import cached_property
 
+from rosemarypath.hashing import digest_fields
 from rosemarypath.scheduling.patience import load_patience
+from rosemarypath.scheduling.quarantine import REQUEST_PREFIX
 
 __all__ = ["RequestContext", "Send"]
 
+MAX_PART_LENGTH = 32  # of a prompt part's identifier; longer ones are hashed
+
 
 @dataclass
 class RequestContext:
@@ -83,6 +88,31 @@
         """Return the request's identifier."""
         return self.demand.request_id
 
+    @cached_property
+    def suspects(self):
+        """
+        Return what may crash a back end that runs it, as `Quarantine` identifies it.
+
+        These are the shared parts of its prompt, and the whole request: another attempt
+        by the same customer is equal, whatever its identifier, key and deadline.
+        """
+        request, demand = self.request, self.demand
+        customer = self.customer.name if self.customer else demand.key
+        digest = digest_fields(
+            request.method,
+            request.path,
+            request.body,
+            customer.encode(),
+            demand.model.encode(),
+            demand.adapter.encode(),
+            ",".join((*demand.shared_parts, demand.own_part)).encode(),
+        )
+        parts = (
+            part if len(part) <= MAX_PART_LENGTH else digest_fields(part.encode())
+            for part in demand.shared_parts
+        )
+        return (*parts, REQUEST_PREFIX + digest)
+
     @property
     def failure_code(self):
         """Return ``failed`` if a back end's error answer was passed on, else ``""``."""
--- a/rosemarypath/scheduling/quarantine.py
+++ b/rosemarypath/scheduling/quarantine.py
@@ -2,194 +2,333 @@
 rosemarypath.scheduling.quarantine
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Finds the part of a prompt that crashes engines, and refuses requests that contain it.
-
-Load: requests share parts of their prompts. One part may crash each engine that begins
-to answer it, while many sound requests with the same customer, adapter and other parts
-are in flight there, at many daemons. Only a request that had not begun to answer can
-have caused a crash, and a part that an engine has begun to answer cannot. Daemons
-exchange both kinds of evidence with their heartbeats.
+Finds the request, or the part of a prompt, that crashes back ends, and refuses it.
+
+Load: a request crashes each back end that runs it and is repeated at any daemon, or
+one part of a prompt crashes each engine that begins to answer it. Hundreds of sound
+requests with the same customer, adapter and other parts are in flight at each crash, at
+many daemons. Only a request that had not begun to answer can have caused a crash, and
+what a back end has begun to answer cannot. Daemons exchange both kinds of evidence with
+their heartbeats.
 """
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from math import inf
 
-__all__ = ["Quarantine", "Verdict"]
+__all__ = ["CLEAR", "REQUEST_PREFIX", "Quarantine", "Verdict"]
 
+REQUEST_PREFIX = "request:"  # of suspects that are whole requests, not prompt parts
 BLOCKING_CRASHES = 2  # without a begun answer since, until a part is blocked
+BLOCKING_REQUEST_CRASHES = 3  # the same for a whole request
 TRUSTED_CRASHES = 1  # more for a part that was answered shortly before
+RIVAL_CRASHES = 1  # more for a request while another one was in the same crashes
 TRUST_SECONDS = 10.0  # for which a begun answer makes a part trusted
 BLOCK_SECONDS = 600.0  # doubled with each further crash, in case of a wrong suspicion
+UNCERTAIN_BLOCK_SECONDS = 5.0  # for a part while one request explains its crashes
 EVIDENCE_SECONDS = 60.0  # for which a crash counts that did not get its part blocked
-# A suspected part waits for evidence of other daemons, then runs when no other
-# suspected one does, so that the next crash has one cause.
+# A suspect waits for evidence of other daemons, then runs when no other one does, so
+# that the next crash has one cause.
 TURN_DELAY_SECONDS = 0.25
 TURN_SECONDS = 0.3
 MAX_TURNS = 4
 MAX_BEGUN_PARTS = 4096
-MAX_SUSPECTED_PARTS = 256
-MAX_REPORTED_PARTS = 64
+MAX_SUSPECTS = 2048
+EVICTED_SHARE = 8  # of the suspects, one in so many is evicted at once
+MAX_CRASHES = 16  # remembered of one suspect
+NEWS_SECONDS = 2.0  # for which new evidence is reported whatever its weight
+MAX_REPORTED_STRONG = 64  # suspects with BLOCKING_CRASHES or more
+MAX_REPORTED_NEWS = 256  # suspects with new evidence
+MAX_REPORTED_OTHERS = 32
+MAX_REPORTED_SUSPECTS = MAX_REPORTED_STRONG + MAX_REPORTED_NEWS + MAX_REPORTED_OTHERS
 
 
 @dataclass(frozen=True)
 class Verdict:
     """
-    Whether a request may be sent: `blocked_part` is empty unless it is refused.
+    Whether a request may be sent: `blocked_suspect` is empty unless it is refused.
 
     `seconds` is how long it must wait, or for how long it stays refused. `crashes` is
-    the number of crashes under the part.
+    the number of crashes under the suspect.
     """
 
     seconds: float = 0.0
-    blocked_part: str = ""
+    blocked_suspect: str = ""
     crashes: int = 0
 
     @property
     def is_held(self):
         """Return whether the request must not be sent now."""
-        return bool(self.blocked_part) or self.seconds > 0.0
+        return bool(self.blocked_suspect) or self.seconds > 0.0
+
+    @property
+    def is_request(self):
+        """Return whether the whole request is blocked, not a part of its prompt."""
+        return _is_request(self.blocked_suspect)
 
 
 CLEAR = Verdict()
 
 
+class _Ranking:
+    """
+    The suspects by the crashes that no answer cleared; made anew when these change.
+
+    `uncleared` maps suspects to these crashes, `unexplained` to those of them without
+    a suspect that has more.
+    """
+
+    def __init__(self, uncleared):
+        self.uncleared = uncleared
+        self._most, self._most_requests = _most_crashes(uncleared)
+        self.unexplained = {
+            suspect: {
+                crash: at
+                for crash, at in crashes.items()
+                if self._most.get(crash, 0) <= len(crashes)
+            }
+            for suspect, crashes in uncleared.items()
+        }
+        self._sharing = {}
+        for suspect, crashes in self.unexplained.items():
+            for crash in crashes:
+                self._sharing.setdefault((crash, _is_request(suspect)), []).append(
+                    suspect
+                )
+        self._rivals = {}
+
+    def is_explained_by_request(self, part):
+        """Return whether a request was in as many crashes, and in all of the part's."""
+        crashes = self.unexplained[part]
+        return all(
+            self._most_requests.get(crash, 0) >= len(crashes) for crash in crashes
+        )
+
+    def rivals(self, suspect):
+        """Return the suspects of the same kind that were in all of its crashes."""
+        if suspect not in self._rivals:
+            crashes = self.unexplained[suspect]
+            last = max(crashes, key=crashes.get)
+            self._rivals[suspect] = sorted(
+                other
+                for other in self._sharing[last, _is_request(suspect)]
+                if crashes.keys() <= self.unexplained[other].keys()
+            )
+        return self._rivals[suspect]
+
+
 class Quarantine:
     """
-    Evidence about prompt parts, of this daemon and of those that it hears of.
+    Evidence about requests and prompt parts, of this daemon and of others.
 
-    Parts and crashes are identified by strings; times are in seconds of one clock.
+    Suspects and crashes are identified by strings, whole requests with REQUEST_PREFIX;
+    times are in seconds of one clock.
     """
 
     def __init__(self):
         self._crashes = {}
         self._begun_at = OrderedDict()
+        self._learned_at = {}
+        self._ranking = None
 
-    def record_crash(self, crash, parts, now):
-        """Record that an engine crashed while a request with `parts` waited there."""
-        for part in parts:
-            self._add_crash(part, crash, now)
-
-    def record_begun(self, parts, now):
-        """Record that an engine began to answer a request with `parts`."""
-        for part in parts:
-            self._set_begun(part, now)
-
-    def verdict(self, parts, now):
-        """Return the `Verdict` on a request with `parts`."""
+    @property
+    def has_suspects(self):
+        """Return whether a verdict can be other than clear."""
+        return bool(self._crashes)
+
+    def record_crash(self, crash, suspects, now):
+        """Record that a back end crashed while a request with `suspects` waited."""
+        for suspect in suspects:
+            self._add_crash(suspect, crash, now, now)
+
+    def record_begun(self, suspects, now):
+        """Record that a back end began to answer a request with `suspects`."""
+        for suspect in suspects:
+            self._set_begun(suspect, now, now)
+
+    def verdict(self, suspects, now):
+        """Return the `Verdict` on a request with `suspects`."""
         if not self._crashes:
             return CLEAR
-        verdicts = [self._part_verdict(part, now) for part in parts]
+        verdicts = [self._suspect_verdict(suspect, now) for suspect in suspects]
         return max(
-            verdicts, key=lambda v: (bool(v.blocked_part), v.seconds), default=CLEAR
+            verdicts, key=lambda v: (bool(v.blocked_suspect), v.seconds), default=CLEAR
         )
 
     def report(self, now):
         """
         Return the evidence for other daemons.
 
-        It is a pair of dictionaries by part: the ages of the crashes in seconds, by
-        crash, and the age of the last answer that was begun.
+        It is a pair of dictionaries by suspect: the ages of the crashes in seconds, by
+        crash, and the age of the last answer that was begun. Suspects of several
+        crashes come before others, however many these are.
         """
         self._drop_expired(now)
-        parts = sorted(
-            self._crashes, key=lambda p: max(self._crashes[p].values()), reverse=True
-        )[:MAX_REPORTED_PARTS]
+        if not self._crashes:
+            return {}, {}
+        uncleared = self._current_ranking().uncleared
+        reported = self._reported_suspects(uncleared, now)
         crashes = {
-            part: {c: round(now - at, 3) for c, at in self._crashes[part].items()}
-            for part in parts
-            if self._uncleared(part)
+            suspect: {c: round(now - at, 3) for c, at in uncleared[suspect].items()}
+            for suspect in reported
+            if suspect in uncleared
         }
         begun = {
-            part: round(now - self._begun_at[part], 3)
-            for part in parts
-            if part in self._begun_at
+            suspect: round(now - self._begun_at[suspect], 3)
+            for suspect in reported
+            if suspect in self._begun_at
         }
         return crashes, begun
 
     def merge(self, crashes, begun, now):
         """Add the evidence that another daemon reported, as `report` returns it."""
-        for part, ages in crashes.items():
+        for suspect, ages in crashes.items():
             for crash, age in ages.items():
-                self._add_crash(part, crash, now - age)
-        for part, age in begun.items():
-            if now - age > self._begun_at.get(part, float("-inf")):
-                self._set_begun(part, now - age)
-
-    def _add_crash(self, part, crash, at):
-        known = self._crashes.setdefault(part, {})
-        known[crash] = min(at, known.get(crash, at))
-        if len(self._crashes) > MAX_SUSPECTED_PARTS:
-            del self._crashes[min(self._crashes, key=self._weight)]
-
-    def _weight(self, part):
-        crashes = self._crashes[part]
-        return len(self._uncleared(part)), max(crashes.values())
-
-    def _set_begun(self, part, at):
-        self._begun_at[part] = at
-        self._begun_at.move_to_end(part)
+                self._add_crash(suspect, crash, now - age, now)
+        for suspect, age in begun.items():
+            if now - age > self._begun_at.get(suspect, -inf):
+                self._set_begun(suspect, now - age, now)
+
+    def _add_crash(self, suspect, crash, at, now):
+        known = self._crashes.setdefault(suspect, {})
+        if at >= known.get(crash, inf):
+            return
+        if crash not in known:
+            self._learned_at[suspect] = now
+        known[crash] = at
+        self._ranking = None
+        if len(known) > MAX_CRASHES:
+            del known[min(known, key=known.get)]
+        if len(self._crashes) > MAX_SUSPECTS:
+            self._evict()
+
+    def _evict(self):
+        """Drop the suspects with the fewest crashes, the oldest first."""
+        for suspect in sorted(self._crashes, key=self._weight)[
+            : MAX_SUSPECTS // EVICTED_SHARE
+        ]:
+            self._drop(suspect)
+
+    def _weight(self, suspect):
+        crashes = self._crashes[suspect]
+        return len(self._uncleared(suspect)), max(crashes.values())
+
+    def _drop(self, suspect):
+        del self._crashes[suspect]
+        del self._learned_at[suspect]
+        self._ranking = None
+
+    def _set_begun(self, suspect, at, now):
+        clears = suspect in self._crashes and bool(self._uncleared(suspect))
+        self._begun_at[suspect] = at
+        self._begun_at.move_to_end(suspect)
         if len(self._begun_at) > MAX_BEGUN_PARTS:
             self._begun_at.popitem(last=False)
+        if clears:
+            self._learned_at[suspect] = now
+            self._ranking = None
+
+    def _reported_suspects(self, uncleared, now):
+        strong, news, others = [], [], []
+        for suspect, crashes in self._crashes.items():
+            if len(uncleared.get(suspect, ())) >= BLOCKING_CRASHES:
+                strong.append(suspect)
+            elif now - self._learned_at[suspect] < NEWS_SECONDS:
+                news.append(suspect)
+            else:
+                others.append((len(crashes), max(crashes.values()), suspect))
+        if len(strong) > MAX_REPORTED_STRONG:
+            strong.sort(key=self._weight, reverse=True)
+        if len(news) > MAX_REPORTED_NEWS:
+            news.sort(key=self._learned_at.get, reverse=True)
+        others = [suspect for *_, suspect in sorted(others, reverse=True)]
+        return (
+            strong[:MAX_REPORTED_STRONG]
+            + news[:MAX_REPORTED_NEWS]
+            + others[:MAX_REPORTED_OTHERS]
+        )
 
-    def _uncleared(self, part):
-        """Return the crashes after the last answer that was begun."""
-        begun_at = self._begun_at.get(part, float("-inf"))
-        return {c: at for c, at in self._crashes[part].items() if at > begun_at}
+    def _current_ranking(self):
+        if self._ranking is None:
+            uncleared = {s: self._uncleared(s) for s in self._crashes}
+            self._ranking = _Ranking({s: c for s, c in uncleared.items() if c})
+        return self._ranking
 
-    def _needed_crashes(self, part, crashes):
-        """Return how many crashes block a part."""
-        begun_at = self._begun_at.get(part, float("-inf"))
+    def _uncleared(self, suspect):
+        """Return the crashes after the last answer that was begun."""
+        begun_at = self._begun_at.get(suspect, -inf)
+        return {c: at for c, at in self._crashes[suspect].items() if at > begun_at}
+
+    def _needed_crashes(self, suspect, crashes):
+        """Return how many crashes block a suspect."""
+        begun_at = self._begun_at.get(suspect, -inf)
+        needed = BLOCKING_CRASHES
+        if _is_request(suspect):
+            needed = BLOCKING_REQUEST_CRASHES
+            if len(self._current_ranking().rivals(suspect)) > 1:
+                needed += RIVAL_CRASHES
         is_trusted = min(crashes.values()) - begun_at < TRUST_SECONDS
-        return BLOCKING_CRASHES + (TRUSTED_CRASHES if is_trusted else 0)
+        return needed + (TRUSTED_CRASHES if is_trusted else 0)
 
-    def _part_verdict(self, part, now):
-        if part not in self._crashes:
+    def _suspect_verdict(self, suspect, now):
+        known = self._crashes.get(suspect)
+        if not known or max(known.values()) <= self._begun_at.get(suspect, -inf):
             return CLEAR
-        crashes = self._unexplained(part)
+        ranking = self._current_ranking()
+        crashes = ranking.unexplained.get(suspect)
         if not crashes:
             return CLEAR
-        needed = self._needed_crashes(part, crashes)
+        needed = self._needed_crashes(suspect, crashes)
         last = max(crashes.values())
-        if len(crashes) >= needed:
-            left = last + _block_seconds(len(crashes) - needed) - now
-            return Verdict(left, part, len(crashes)) if left > 0.0 else CLEAR
         if len(crashes) < needed - 1:
             return CLEAR
-        return Verdict(max(0.0, last + self._turn_delay(part, last) - now))
-
-    def _unexplained(self, part):
-        """Return the crashes of a part without those of a more suspicious part."""
-        crashes = self._uncleared(part)
-        if not crashes:
-            return crashes
-        for other in self._crashes:
-            others = self._uncleared(other)
-            if len(others) >= BLOCKING_CRASHES and len(others) > len(crashes):
-                crashes = {c: at for c, at in crashes.items() if c not in others}
-        return crashes
-
-    def _turn_delay(self, part, crashed_at):
-        """Return how long after the crash the turn of a suspected part begins."""
-        rivals = sorted(
-            other
-            for other in self._crashes
-            if any(
-                abs(at - crashed_at) < TURN_DELAY_SECONDS
-                for at in self._uncleared(other).values()
-            )
-        )
-        turn = rivals.index(part) if part in rivals else 0
-        return TURN_DELAY_SECONDS + min(turn, MAX_TURNS) * TURN_SECONDS
+        if len(crashes) >= needed:
+            left = last + self._block_seconds(suspect, crashes, needed) - now
+            if left > 0.0:
+                return Verdict(left, suspect, len(crashes))
+        turn = min(ranking.rivals(suspect).index(suspect), MAX_TURNS)
+        begins_at = last + TURN_DELAY_SECONDS + turn * TURN_SECONDS
+        return Verdict(max(0.0, begins_at - now))
+
+    def _block_seconds(self, suspect, crashes, needed):
+        """Return for how long a suspect is blocked after the last of its crashes."""
+        is_part = not _is_request(suspect)
+        if is_part and self._current_ranking().is_explained_by_request(suspect):
+            is_certain = len(crashes) >= BLOCKING_REQUEST_CRASHES
+            return 0.0 if is_certain else UNCERTAIN_BLOCK_SECONDS
+        return _block_seconds(len(crashes) - needed)
 
     def _drop_expired(self, now):
-        for part in list(self._crashes):
-            crashes = self._crashes[part]
+        for suspect in list(self._crashes):
+            crashes = self._crashes[suspect]
             extra = len(crashes) - BLOCKING_CRASHES
             kept = EVIDENCE_SECONDS if extra < 0 else 2 * _block_seconds(extra)
             if now - max(crashes.values()) > kept:
-                del self._crashes[part]
+                self._drop(suspect)
+
+
+def _most_crashes(uncleared):
+    """
+    Return, by crash, the most crashes that one of its suspects has.
+
+    The second dictionary counts whole requests only. Suspects of fewer crashes than
+    BLOCKING_CRASHES explain nothing.
+    """
+    most, most_requests = {}, {}
+    for suspect, crashes in uncleared.items():
+        if len(crashes) < BLOCKING_CRASHES:
+            continue
+        for crash in crashes:
+            most[crash] = max(len(crashes), most.get(crash, 0))
+            if _is_request(suspect):
+                most_requests[crash] = max(len(crashes), most_requests.get(crash, 0))
+    return most, most_requests
+
+
+def _is_request(suspect):
+    return suspect.startswith(REQUEST_PREFIX)
 
 
 def _block_seconds(extra_crashes):
-    """Return for how long a part is blocked after its last crash."""
+    """Return for how long a suspect is blocked after its last crash."""
     return BLOCK_SECONDS * 2 ** min(extra_crashes, 10)
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -104,6 +104,8 @@
             outcome = await self._exchange(send)
             if send.has_lost_connection and not send.has_first_event:
                 await self._record_crash(send)
+            elif send.is_complete and not send.has_first_event:
+                self._record_begun(context)
             return outcome
         finally:
             if not send.is_complete:
@@ -113,32 +115,39 @@
 
     def _may_send(self, send):
         """Return whether the back end and the request are still eligible."""
-        parts = send.context.demand.shared_parts
-        verdict = self._fleet.quarantine.verdict(parts, send.started)
-        if verdict.blocked_part:
-            return False
+        quarantine = self._fleet.quarantine
+        if quarantine.has_suspects:
+            verdict = quarantine.verdict(send.context.suspects, send.started)
+            if verdict.blocked_suspect:
+                return False
         is_granted = send.granted_at is not None
         if is_granted and lease_now() - send.granted_at > GRANT_SECONDS:
             return False
         return self._fleet.accepts_request(send.state, is_granted, send.started)
 
     async def _record_crash(self, send):
-        """Record a crash under the request's prompt if the back end is gone."""
-        parts = send.context.demand.shared_parts
+        """Record a crash under the request if the back end is gone."""
         address = send.state.back_end.address
-        if not parts or not await self._pool.is_refused(
-            address, now(), CRASH_CHECK_SECONDS
-        ):
+        if not await self._pool.is_refused(address, now(), CRASH_CHECK_SECONDS):
             return
-        self._fleet.quarantine.record_crash(send.state.incarnation, parts, now())
+        suspects = send.context.suspects
+        self._fleet.quarantine.record_crash(send.state.incarnation, suspects, now())
         self._log.write(
             "quarantine",
             "crash",
             request=send.context.id,
             back_end=send.state.name,
-            parts=parts,
+            suspects=suspects,
         )
 
+    def _record_begun(self, context):
+        """Record that a back end began to answer the request and did not crash."""
+        quarantine = self._fleet.quarantine
+        if quarantine.has_suspects:
+            quarantine.record_begun(context.suspects, now())
+        elif context.demand.shared_parts:
+            quarantine.record_begun(context.demand.shared_parts, now())
+
     async def _exchange(self, send):
         context = send.context
         try:
@@ -252,6 +261,7 @@
             async with asyncio.timeout(context.remaining(now())):
                 body = await send.upstream.read_all()
         except ResponseError as error:
+            send.has_lost_connection = True
             return self._fail_unknown(send, "broken", error.message)
         except TimeoutError:
             return self._fail_unknown(
@@ -323,7 +333,7 @@
     def _record_first_event(self, send):
         """Record the first event, at which the engine has read the prompt."""
         send.has_first_event = True
-        self._fleet.quarantine.record_begun(send.context.demand.shared_parts, now())
+        self._record_begun(send.context)
         send.state.record_first_byte(send.context.demand)
         send.state.record_success(now(), now() - send.started)
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -72,6 +72,9 @@
     - `cuts`: with `unframed`, end the connection in the middle of the third event
     - `deadly_part`: part of a prompt under which the replica crashes before the first
       event (not a count)
+    - `deadly_request`: path, customer and body of a request under which the replica
+      crashes, as it begins to run it or, with `deadly_stage` ``head`` or ``body``, in
+      the middle of the answer's head or of a whole answer's body (not a count)
     - `rate_limit`: requests per second that each answer names as the limit; empty for
       none (not a count)
     - `is_leaving`: each answer tells that the replica leaves (not a count)
@@ -97,6 +100,8 @@
     unframed: bool = False
     cuts: int = 0
     deadly_part: str = ""
+    deadly_request: tuple | None = None
+    deadly_stage: str = ""
     rate_limit: str = ""
     is_leaving: bool = False
     pause_seconds: str = ""
@@ -138,7 +143,8 @@
     `engine` is an `EngineState`, or ``None`` for a plain service. `crash_times` are the
     times of the event loop at which it crashed. `requests` lists the requests received,
     `running` holds the identifiers of the attempts in progress, and
-    `cancelled` those that ended because the connection was closed.
+    `cancelled` those that ended because the connection was closed. ``on_restart(self)``
+    is called when it listens again after a crash.
     """
 
     def __init__(self, name, address, engine=None):
@@ -152,6 +158,7 @@
         self.running = set()
         self.cancelled = []
         self.crash_times = []
+        self.on_restart = None
 
     async def start(self):
         """Start listening."""
@@ -170,8 +177,9 @@
         """End all connections in an orderly way, and start empty after a while."""
         self.crash_times.append(asyncio.get_running_loop().time())
         listener = self._listener
-        self.engine.adapters.clear()
-        self.engine.loading.clear()
+        if self.engine is not None:
+            self.engine.adapters.clear()
+            self.engine.loading.clear()
         self._listener = self._new_listener(self.address)
         task = asyncio.get_running_loop().create_task(self._restart())
         self._tasks.add(task)
@@ -180,10 +188,24 @@
             connection.close()
         listener.close()
 
+    async def _crash_under(self, connection, headers):
+        await asyncio.sleep(PREFILL_SECONDS)
+        signed = [*headers, (b"X-Response-Signature", b"s")]
+        if self.faults.deadly_stage == "head":
+            connection.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nX-Resp")
+        elif self.faults.deadly_stage == "body":
+            connection.write_head(200, signed)
+            connection.write(b"id: 1")
+        await asyncio.sleep(EVENT_INTERVAL_SECONDS)
+        self._crash()
+
     async def _restart(self):
         await asyncio.sleep(RESTART_SECONDS)
-        self.engine.command_count = 0
+        if self.engine is not None:
+            self.engine.command_count = 0
         await self._listener.start()
+        if self.on_restart is not None:
+            self.on_restart(self)
 
     def store_entry(self, service, zone="z1", state="ready", cold_ms=0):
         """Return the entry that the replica registers in the store."""
@@ -303,6 +325,11 @@
         received.has_run = True
         self.running.add(attempt_id)
         try:
+            if (path, headers.get("x-tenant"), request.body) == (
+                self.faults.deadly_request
+            ):
+                await self._crash_under(connection, base)
+                return
             await self._answer(connection, base, attempt_id, headers, model)
         except asyncio.CancelledError:
             self.cancelled.append(attempt_id)
--- a/tests/edgefleet.py
+++ b/tests/edgefleet.py
@@ -122,6 +122,7 @@
         await self.store.start()
         for replica in self.engines + self.ledgers:
             await replica.start()
+            replica.on_restart = self.announce
             self.announce(replica)
         self.configure(configuration())
         for _ in range(self._count):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,10 +2,13 @@
 tests.test_quarantine
 ~~~~~~~~~~~~~~~~~~~~~
 
-Parts of prompts that crash engines: evidence, blocking, release, and what callers get.
+Requests and parts of prompts that crash back ends: evidence, blocking, release, and
+what callers get.
 """
 
 import asyncio
+import random
+import time
 
 import pytest
 from hypothesis import given, settings, strategies as st
@@ -14,10 +17,12 @@
 from rosemarypath.scheduling.quarantine import (
     BLOCK_SECONDS,
     BLOCKING_CRASHES,
+    BLOCKING_REQUEST_CRASHES,
     EVIDENCE_SECONDS,
     MAX_BEGUN_PARTS,
-    MAX_REPORTED_PARTS,
-    MAX_SUSPECTED_PARTS,
+    MAX_REPORTED_SUSPECTS,
+    MAX_SUSPECTS,
+    REQUEST_PREFIX,
     TURN_DELAY_SECONDS,
     TURN_SECONDS,
     Quarantine,
@@ -25,6 +30,7 @@
 from standins.simulatedfleet import BEAT, Play
 from tests.edgefleet import running_fleet
 
+DEADLY = REQUEST_PREFIX + "deadly"
 CUT = 0  # in place of a status: an answer that broke off
 
 
@@ -40,7 +46,7 @@
 
 
 def blocked(quarantine, part, now):
-    return quarantine.verdict((part,), now).blocked_part == part
+    return quarantine.verdict((part,), now).blocked_suspect == part
 
 
 def test_a_part_that_crashed_two_engines_is_blocked(quarantine):
@@ -48,8 +54,8 @@
     assert not blocked(quarantine, "deadly", 1.1)
     crash(quarantine, ("b", 1.5))
     assert blocked(quarantine, "deadly", 1.6)
-    assert quarantine.verdict(("shared", "deadly"), 1.6).blocked_part == "deadly"
-    assert quarantine.verdict(("shared", "other"), 1.6).blocked_part == ""
+    assert quarantine.verdict(("shared", "deadly"), 1.6).blocked_suspect == "deadly"
+    assert quarantine.verdict(("shared", "other"), 1.6).blocked_suspect == ""
 
 
 def test_one_crash_seen_by_several_requests_counts_once(quarantine):
@@ -84,14 +90,14 @@
     assert quarantine.verdict(("part 2",), 1.0 + waits[2]).seconds == 0.0
 
 
-def test_crashes_that_a_blocked_part_explains_do_not_count_for_others(quarantine):
+def test_crashes_that_a_blocked_suspect_explains_do_not_count_for_others(quarantine):
     crash(quarantine, ("a", 1.0), ("b", 2.0), ("c", 3.0))
     crash(quarantine, ("a", 1.0), ("b", 2.0), parts=("beside it",))
     assert blocked(quarantine, "deadly", 3.1)
     assert not blocked(quarantine, "beside it", 3.1)
 
 
-def test_a_blocked_part_is_tried_again_and_then_blocked_for_longer(quarantine):
+def test_a_blocked_suspect_is_tried_again_and_then_blocked_for_longer(quarantine):
     crash(quarantine, ("a", 0.0), ("b", 1.0))
     assert blocked(quarantine, "deadly", 0.9 + BLOCK_SECONDS)
     again = 1.1 + BLOCK_SECONDS
@@ -111,13 +117,54 @@
     for number in range(3 * MAX_BEGUN_PARTS):
         quarantine.record_begun((f"p{number}",), float(number))
     crash(quarantine, ("a", 1e6), ("b", 1e6 + 1))
-    for number in range(3 * MAX_SUSPECTED_PARTS):
+    for number in range(3 * MAX_SUSPECTS):
         crash(quarantine, (f"x{number}", 1e6 + 2), parts=(f"q{number}",))
     crashes, begun = quarantine.report(1e6 + 3)
-    assert len(crashes) <= MAX_REPORTED_PARTS and len(begun) <= MAX_REPORTED_PARTS
+    assert len(crashes) <= MAX_REPORTED_SUSPECTS and len(begun) <= MAX_REPORTED_SUSPECTS
     assert blocked(quarantine, "deadly", 1e6 + 3)
     assert len(quarantine._begun_at) <= MAX_BEGUN_PARTS
-    assert len(quarantine._crashes) <= MAX_SUSPECTED_PARTS
+    assert len(quarantine._crashes) <= MAX_SUSPECTS
+
+
+def test_a_flood_of_unique_requests_never_displaces_a_suspect_of_two_crashes(
+    quarantine,
+):
+    crash(quarantine, ("a", 1.0), ("b", 1.5), parts=(DEADLY,))
+    for number in range(3 * MAX_SUSPECTS):
+        crash(quarantine, (f"x{number}", 2.0), parts=(f"request:{number}",))
+    assert DEADLY in quarantine.report(2.1)[0]
+    crash(quarantine, ("c", 2.2), parts=(DEADLY,))
+    assert blocked(quarantine, DEADLY, 2.3)
+
+
+def test_a_request_is_blocked_rather_than_the_parts_that_it_shares(quarantine):
+    crash(quarantine, ("a", 1.0), ("b", 2.0), ("c", 3.0), parts=("shared", DEADLY))
+    assert blocked(quarantine, DEADLY, 3.1)
+    assert not blocked(quarantine, "shared", 3.1)
+    crash(quarantine, ("d", 4.0), parts=("shared", "request:other"))
+    assert blocked(quarantine, "shared", 4.1)
+
+
+def test_requests_that_share_all_crashes_run_in_turn_before_one_is_blocked(quarantine):
+    pair = ("request:1", "request:2")
+    crash(quarantine, ("a", 1.0), ("b", 2.0), ("c", 3.0), parts=pair)
+    first, second = (quarantine.verdict((suspect,), 3.0) for suspect in pair)
+    assert not first.blocked_suspect and not second.blocked_suspect
+    assert second.seconds - first.seconds == pytest.approx(TURN_SECONDS)
+    crash(quarantine, ("d", 4.0), parts=pair[:1])
+    assert blocked(quarantine, pair[0], 4.1)
+    assert quarantine.verdict(pair[1:], 4.1).seconds == 0.0
+
+
+def test_verdicts_and_reports_stay_cheap_with_many_suspects(quarantine):
+    for number in range(MAX_SUSPECTS):
+        crash(quarantine, (f"e{number % 40}", 1.0), parts=(f"request:{number}",))
+    crash(quarantine, ("e0", 1.0), ("e1", 1.0), ("e2", 1.0), parts=("p", DEADLY))
+    quarantine.verdict(("p", DEADLY), 2.0)
+    began = time.process_time()
+    for _ in range(1000):
+        quarantine.verdict(("p", "q", DEADLY), 2.0)
+    assert time.process_time() - began < 0.1
 
 
 steps = st.lists(
@@ -171,6 +218,122 @@
         assert not blocked(daemon.fleet.quarantine, "deadly", play.now)
 
 
+class Crowd:
+    """
+    Crashes of a simulated fleet that hundreds of sound requests are blamed for.
+
+    Each crash is seen by `witnesses` daemons, one of them with the deadly request.
+    Requests and parts are drawn anew for each crash, but for a few that are in the next
+    one too.
+    """
+
+    def __init__(self, play, witnesses=3, requests=30, parts=60):
+        self._play = play
+        self._random = random.Random(1)
+        self._witnesses = witnesses
+        self._requests = requests
+        self._parts = parts
+        self._crash_count = 0
+        self._repeated = []
+
+    def crash(self):
+        """Let one back end crash under the deadly request."""
+        self._crash_count += 1
+        repeated, self._repeated = self._repeated, []
+        witnesses = self._random.sample(self._play.daemons, self._witnesses)
+        for number, daemon in enumerate(witnesses):
+            blamed = [DEADLY] if number == 0 else []
+            name = f"{self._crash_count}.{number}"
+            blamed += [f"request:{name}.{n}" for n in range(self._requests)]
+            blamed += [f"{name}.{n}" for n in range(self._parts)]
+            blamed += repeated[number::3] + [f"p{n}" for n in range(9)]
+            self._random.shuffle(blamed)
+            for suspect in blamed:
+                daemon.fleet.quarantine.record_crash(
+                    f"e{self._crash_count}", (suspect,), self._play.now
+                )
+            self._repeated += [f"request:{name}.{n}" for n in range(3)]
+
+    def answer(self):
+        """Let back ends begin to answer what the sound requests share."""
+        daemon = self._random.choice(self._play.daemons)
+        shared = tuple(f"p{n}" for n in range(9))
+        daemon.fleet.quarantine.record_begun(shared, self._play.now)
+
+    def sound_suspects(self):
+        """Return all suspects that any daemon was told of but the deadly one."""
+        return {
+            suspect
+            for daemon in self._play.daemons
+            for suspect in daemon.fleet.quarantine._crashes
+        } - {DEADLY}
+
+
+@pytest.mark.parametrize("total", [9, 60, 195])
+def test_a_crowd_of_sound_requests_never_hides_the_one_that_crashes(total, monkeypatch):
+    play = Play(total, monkeypatch)
+    play.beat(3.0)
+    crowd = Crowd(play)
+    for _ in range(BLOCKING_REQUEST_CRASHES):
+        crowd.crash()
+        play.beat(2 * BEAT)
+        crowd.answer()
+    play.beat(2.0)
+    for daemon in play.daemons:
+        assert blocked(daemon.fleet.quarantine, DEADLY, play.now)
+    for suspect in crowd.sound_suspects():
+        for daemon in play.daemons:
+            assert not blocked(daemon.fleet.quarantine, suspect, play.now), suspect
+
+
+@pytest.mark.parametrize("stage", ["begin", "head", "body"])
+@pytest.mark.parametrize("kind", ["write", "read", "engine"])
+def test_a_deadly_request_is_refused_after_three_crashes_at_all_daemons(kind, stage):
+    async def scenario(fleet):
+        path = {"write": b"/write/x", "read": b"/read/x", "engine": b"/ask/x"}[kind]
+        replicas = fleet.engines if kind == "engine" else fleet.ledgers
+        for replica in replicas:
+            replica.faults.deadly_request = (path.decode(), "kiln", b"dead")
+            replica.faults.deadly_stage = stage
+        options = {"path": path, "method": b"POST", "deadline": 3000}
+        if kind == "engine":
+            options["adapter"] = "a1"
+        statuses = {b"dead": [], b"sound": []}
+
+        async def ask(body, number, daemon):
+            try:
+                reply = await fleet.call(
+                    daemon=daemon, body=body, id=f"{body.decode()}{number}", **options
+                )
+                statuses[body].append(reply.status)
+            except ResponseError:
+                statuses[body].append(CUT)
+
+        async with asyncio.TaskGroup() as tasks:
+            for number in range(40):
+                tasks.create_task(ask(b"sound", number, number % 3))
+                if number % 4 == 0:
+                    tasks.create_task(ask(b"dead", number, number // 4 % 3))
+                await asyncio.sleep(0.15)
+        crashes = sorted(at for replica in replicas for at in replica.crash_times)
+        runs = [
+            received.received_at
+            for replica in replicas
+            for received in replica.requests
+            if received.id.startswith("dead")
+        ]
+        assert len(runs) <= 6
+        assert sum(at > crashes[2] for at in runs) <= 3
+        assert statuses[b"dead"][-4:] == [503] * 4
+        assert statuses[b"sound"][-10:] == [200] * 10
+
+    async def run():
+        async with running_fleet(3) as fleet:
+            await scenario(fleet)
+
+    asyncio.run(run())
+
+
 def test_a_deadly_prompt_stops_crashing_engines_and_sound_ones_are_served():
     async def scenario(fleet):
         for engine in fleet.engines:
