Answer the requests that were read on a connection before a stop closes it

What callers saw: a stopping daemon closed a connection after the answer to its first request, and requests that it had read behind that one got neither an answer nor a refusal.

Cause: `write_head` made each answer during a stop the last one of its connection. It now does so only if no further request was read or begun; `Connection: close` stands on the last one. A begun request is bounded by its timers. Where the caller itself asked to close, what comes behind is ignored, as HTTP says.

Before, of three requests sent at once only the first was answered, and a request of which 20 bytes had been read was not answered.

--- a/rosemarypath/listener.py
+++ b/rosemarypath/listener.py
@@ -89,12 +89,16 @@
         """Return whether the connection is still open."""
         return not self._transport.is_closing()
 
+    @property
+    def _has_next(self):
+        """Return whether a further request was read, or begun to be read."""
+        return self._request is not None or bool(self._requests)
+
     @property
     def is_idle(self):
         """Return whether no request is being read or answered, and all is sent."""
-        is_reading = self._request is not None or bool(self._requests)
         has_unsent = self._transport.get_write_buffer_size() > 0
-        return not (self.is_busy or is_reading or has_unsent)
+        return not (self.is_busy or self._has_next or has_unsent)
 
     # Called by the event loop.
 
@@ -188,7 +192,8 @@
         `closes` the connection is closed after the answer.
         """
         request = self._current_request
-        closes = closes or not request.keep_alive or self._listener.is_stopping
+        is_last = self._listener.is_stopping and not self._has_next
+        closes = closes or is_last or not request.keep_alive
         lines = [b"HTTP/1.1 %d %b" % (status, _reason_phrase(status))]
         lines += [b"%b: %b" % pair for pair in headers]
         self._is_chunked = False
@@ -252,7 +257,7 @@
 
     def close_if_idle(self):
         """Close unless a request is being read or answered."""
-        if not self.is_busy and self._request is None and not self._requests:
+        if not (self.is_busy or self._has_next):
             self._transport.close()
 
     _unsent_head = b""
@@ -357,7 +362,8 @@
 
     Each request is answered by ``await handle(request, connection)``, with an
     `IncomingRequest` and a `CallerConnection`. `limits` are the `IngressLimits`. While
-    `is_stopping` is set, each connection is closed after its next answer.
+    `is_stopping` is set, each connection is closed after the answers to the requests
+    that it has read.
     ``on_error(error)`` is called with an exception of the handler (default: it is given
     to the event loop's exception handler).
     """
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -200,6 +200,7 @@
     assert received.count(b"whole") == 2
 
 
+PIPELINED = [b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n" % n for n in range(3)]
 HEAD = b"GET / HTTP/1.1\r\nHost: h\r\n"
 
 
@@ -262,3 +263,35 @@
     received, _ = send_and_receive(data, handle, reads=0, seconds=3.0)
     assert received.startswith(b"HTTP/1.1 200")
     assert b"HTTP/1.1 408" in received and not received.endswith(b"<open>")
+
+
+def stopping_answers(data, pause=0.0):
+    """Return what a listener answers that stops during the first request in `data`."""
+
+    async def handle(request, connection):
+        connection._listener.is_stopping = True
+        await asyncio.sleep(0.1)
+        connection.answer(200, [], b"end of " + request.path)
+
+    return send_and_receive(data, handle, reads=0, pause=pause)[0]
+
+
+def test_requests_that_were_read_before_a_stop_are_answered_before_the_close():
+    received = stopping_answers(b"".join(PIPELINED))
+    answers = received.split(b"HTTP/1.1 ")[1:]
+    assert [answer[-2:] for answer in answers] == [b"/0", b"/1", b"/2"]
+    assert [b"Connection: close" in answer for answer in answers] == [0, 0, 1]
+
+
+def test_a_request_that_was_begun_before_a_stop_is_answered_before_the_close():
+    first, second, _ = PIPELINED
+    received = stopping_answers([first + second[:20], second[20:]], pause=0.2)
+    answers = received.split(b"HTTP/1.1 ")[1:]
+    assert [answer[-2:] for answer in answers] == [b"/0", b"/1"]
+    assert [b"Connection: close" in answer for answer in answers] == [0, 1]
+
+
+def test_requests_behind_one_that_asks_to_close_are_ignored():
+    first = b"GET /0 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    received = stopping_answers(first + PIPELINED[1])
+    assert received.endswith(b"end of /0") and received.count(b"HTTP/1.1 ") == 1
