Wait before a lost lease is taken by a daemon new to the store

What was seen: no call of callers; in the leases' model with drills (one of some 13,000), a daemon ordered 1.8 s after the last order of another holder, 3 s asked for.

Cause: c reads the store for the first time 1.5 s after a drill that lost the lease of a. It has heard the others last before any of them had read the store, so it sees no earlier era and takes an absent lease for one that never was. Class: what is not known is taken for what is not there.

A daemon now counts its first read of a store in an era after the first as the begin of that era, as it already did for an era that rose while it ran: for the lease time and its margin (5 s) it stores a lost lease with an unknown previous holder, and waits before its first order. What is known of earlier eras still counts.

Cost: none in the first era, so none at a usual start. After a drill, a daemon within 5 s of its first read that is chosen for an engine without any lease orders 5 s after it took it. Daemons that knew the store before, and leases that are stored, are not delayed.

--- a/rosemarypath/engineleases.py
+++ b/rosemarypath/engineleases.py
@@ -33,6 +33,7 @@
 # After its last order's token, a holder may go on in a new era without a wait. Another
 # one would have waited longer before its own first order.
 RENEWAL_SECONDS = 3.0
+FIRST_ERA = 1  # in which the store has lost nothing
 UNKNOWN_HOLDER = "?"  # of a lease that the store may have lost
 
 
@@ -173,9 +174,16 @@
         return self._peers.may_take_over_from(lease.machine, lease_now)
 
     def _note_era(self, lease_now):
-        """Note when this daemon read the first leases of an era after the first."""
+        """
+        Note when this daemon read the first leases of an era after the first.
+
+        Which leases the older copy lacked is unknown even to a daemon that reads the
+        store for the first time, so that no one may have told it of the era before.
+        """
         era = era_of(self._mirror.revision)
-        if era != self._era and (self._era is not None or self._has_former_era(era)):
+        if era != self._era and (
+            self._era is not None or era > FIRST_ERA or self._has_former_era(era)
+        ):
             self._era_seen_at = lease_now
         self._era = era
 
--- a/tests/test_engineleases.py
+++ b/tests/test_engineleases.py
@@ -295,6 +295,26 @@
     assert before and before == after
 
 
+@pytest.mark.parametrize("era, waits", [(1, False), (2, True)])
+def test_a_daemon_new_to_the_store_waits_where_a_lease_may_have_been_lost(era, waits):
+    store = MemoryStore()
+    store.revision = position(era, 7)
+    node = Node("a", ["a"], store, 0.0)
+    orders = []
+
+    async def run():
+        for tick in range(100):
+            await node.step(tick * 0.1)
+            if node.leases.fencing_token("engine", tick * 0.1):
+                orders.append(tick * 0.1)
+
+    asyncio.run(run())
+    if waits:
+        assert LEASE <= orders[0] <= LEASE + 2.5
+    else:
+        assert orders[0] == 0.0
+
+
 @pytest.mark.parametrize("spec", [None, "x", {}, {"machine": 3}])
 def test_an_unreadable_lease_has_no_holder(spec):
     node = Node("a", ["a"], MemoryStore(), 0.0)
