Hash long prompt part identifiers before they are remembered

Longer ones than 32 characters were hashed as suspects, but remembered as begun unhashed while there were no suspects, so that the answer did not count for the part. Both now use the same identifier.

--- a/rosemarypath/requestcontext.py
+++ b/rosemarypath/requestcontext.py
@@ -88,6 +88,14 @@
         """Return the request's identifier."""
         return self.demand.request_id
 
+    @cached_property
+    def suspected_parts(self):
+        """Return the shared parts of its prompt, long identifiers hashed."""
+        return tuple(
+            part if len(part) <= MAX_PART_LENGTH else digest_fields(part.encode())
+            for part in self.demand.shared_parts
+        )
+
     @cached_property
     def suspects(self):
         """
@@ -107,11 +115,7 @@
             demand.adapter.encode(),
             ",".join((*demand.shared_parts, demand.own_part)).encode(),
         )
-        parts = (
-            part if len(part) <= MAX_PART_LENGTH else digest_fields(part.encode())
-            for part in demand.shared_parts
-        )
-        return (*parts, REQUEST_PREFIX + digest)
+        return (*self.suspected_parts, REQUEST_PREFIX + digest)
 
     @property
     def failure_code(self):
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -145,8 +145,8 @@
         quarantine = self._fleet.quarantine
         if quarantine.has_suspects:
             quarantine.record_begun(context.suspects, now())
-        elif context.demand.shared_parts:
-            quarantine.record_begun(context.demand.shared_parts, now())
+        else:
+            quarantine.record_begun(context.suspected_parts, now())
 
     async def _exchange(self, send):
         context = send.context
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -232,6 +232,12 @@
     )
 
 
+def test_long_part_identifiers_never_fill_the_evidence():
+    request = context(shared_parts=("a" * 8000, "b"))
+    assert max(len(suspect) for suspect in request.suspects) <= 32
+    assert request.suspects[:2] == request.suspected_parts
+
+
 def test_another_attempt_of_a_request_is_the_same_suspect_whatever_its_key():
     first = context(request_id="r1", key="old", deadline=3.0)
     again = context(request_id="r2", key="new", deadline=1.0)
