Close the connection of a takeover that is not used any more

What was seen: by reading. A silent request for which another back end had been prepared, and whose time was over just then, ended without using the connection that had been opened for it. It stayed open and in the pool's set until the back end closed it.

Cause: only the next send released it. Now the end of the request does, too. The test failed before (a connection to the ledger left in use).

--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -99,6 +99,7 @@
             raise
         finally:
             context.end_wait()
+            self._sender.discard_prepared(context)
             self._admission.record_duration(context, outcome)
         failure = outcome.code if outcome else context.failure_code
         self._metrics.record_request(context, failure)
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -131,6 +131,12 @@
             self._pool.release(send.upstream, now())
             state.end_request(context.demand, send.has_first_event, now())
 
+    def discard_prepared(self, context):
+        """Drop the send that was to take a request over, if it was not used."""
+        if context.prepared is not None:
+            self._discard(context.prepared)
+            context.prepared = None
+
     def _discard(self, send):
         """Drop a prepared send that is not needed."""
         self._pool.release(send.upstream, now())
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -172,6 +172,21 @@
     play(scenario)
 
 
+def test_a_takeover_that_comes_too_late_leaves_no_connection_open(monkeypatch):
+    async def scenario(fleet):
+        daemon = fleet.daemons[0]
+        silence(fleet.ledgers, "silences")
+        monkeypatch.setattr(
+            daemon._forwarder, "_may_retry", lambda context, outcome: False
+        )
+        reply = await fleet.call(b"/read/x", id="s")
+        assert reply.status == 502
+        in_use = {connection.address for connection in daemon._pool._in_use}
+        assert in_use.isdisjoint(ledger.address for ledger in fleet.ledgers)
+
+    play(scenario)
+
+
 def test_a_request_to_a_silent_back_end_ends_at_its_deadline():
     async def scenario(fleet):
         loop = asyncio.get_running_loop()
