--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -156,7 +156,7 @@
         forwarder = fleet.daemons[0]._forwarder
         silence(fleet.engines, "silences")
 
-        async def fail(context, state):
+        def fail(*arguments):
             raise TimeoutError("of a test")
 
         def is_first():
@@ -164,7 +164,7 @@
 
         task = asyncio.ensure_future(ask(fleet))
         await fleet.until(is_first)
-        monkeypatch.setattr(forwarder._sender, "prepare", fail)
+        monkeypatch.setattr(forwarder, "_choose_back_end", fail)
         reply = await task
         assert (reply.status, reply.body) == (200, WHOLE)
         assert is_first()
