--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,8 +2,8 @@
 review.2.case
 ~~~~~~~~~~~~~
 
-A restarted daemon sends requests to an outdated adapter long after its newer version
-was acknowledged.
+A part of a prompt that crashes each replica as it begins to write its answer is never
+refused if the first event of that answer gets out.
 """
 
 import asyncio
@@ -11,117 +11,95 @@
 
 from review.harness import (
     BOUNDS,
-    MODEL,
     CannotRunError,
     has_trouble,
     play,
     running_deployment,
 )
+from standins import replica as replica_module
 
 DAEMONS = 3
-REPLICAS = 2
-ADAPTERS = [f"a{number}" for number in range(1, 13)]
-UNUSED_SECONDS = 9.0  # without requests for the adapters, before the announcement
-VERSION_SECONDS = BOUNDS["version_ms"] / 1000
+REPLICAS = 5
+SECONDS = 20.0
+SOUND_PER_SECOND = 20.0
+DEADLY_EVERY = 20  # requests, which is a share of 0.05
+DEADLY_PART = "91bd3f06"
+CRASH_AFTER_SECONDS = 0.02  # from the first event, as long as a few steps take
+replica_module.RESTART_SECONDS = 3.0  # "back after some seconds"
 STABLE_SECONDS = BOUNDS["stableWindowMs"] / 1000
-AFTER_ACKNOWLEDGEMENT_SECONDS = VERSION_SECONDS + 1.0
-RESTART_SECONDS = 0.5  # between the end of a process and its next start
-FIRST_SECONDS = STABLE_SECONDS + 0.01  # after the restart, for the first request
-PAUSE_SECONDS = 0.03  # between two requests
-OLD, NEW = 1, 2
+COUNTED_CRASHES = 5
+ALLOWED_REQUESTS = 3
 
 
-class Versions:
-    """Notes on which version of its adapter each request begins to run."""
+class Deadly:
+    """Makes replicas crash under `DEADLY_PART`; notes crashes and arrivals."""
 
     def __init__(self, deployment):
         self._deployment = deployment
-        self.by_request = {}
+        self.crashes = []
+        self.arrivals = []
         for replica in deployment.replicas:
             self._watch(replica)
 
     def _watch(self, replica):
-        answer = replica._answer
-
-        async def note(connection, base, attempt_id, headers, model):
-            adapter = headers["x-model"].partition("/")[2]
-            version = replica.engine.adapters[adapter]
-            self.by_request[attempt_id] = version
-            self._deployment.record.write(
-                "begun",
-                request=attempt_id,
-                at=replica.name,
-                adapter=adapter,
-                version=version,
-            )
-            await answer(connection, base, attempt_id, headers, model)
-
-        replica._answer = note
-
-
-async def load_adapters(deployment):
-    """Have each adapter loaded and used once."""
-    for adapter in ADAPTERS:
-        for _ in range(20):
-            _, status = await deployment.request(deployment.daemons[1], adapter)
-            if status == 200:
-                break
-            await asyncio.sleep(0.2)
-        else:
-            raise CannotRunError(f"{adapter} is not served")
-
-
-def announce_versions(deployment):
-    """Name a newer version of each adapter, which the store acknowledges at once."""
-    for adapter in ADAPTERS:
-        spec = {"model": MODEL, "adapter": adapter, "version": NEW}
-        deployment.store.put("versions", f"{MODEL}.{adapter}", spec)
-    for replica in deployment.replicas:
-        replica.engine.newest_versions = dict.fromkeys(ADAPTERS, NEW)
-    deployment.record.write("acknowledged", version=NEW, adapters=len(ADAPTERS))
-    return deployment.record.now()
+        record = self._deployment.record
+        run, stream = replica._run, replica._stream
+
+        async def note_arrival(request, connection):
+            headers = {k.decode(): v.decode() for k, v in request.headers}
+            if DEADLY_PART in headers.get("x-prompt-prefix", ""):
+                self.arrivals.append(record.now())
+                name = headers["x-attempt-id"]
+                record.write("deadly request arrives", request=name, at=replica.name)
+            await run(request, connection)
+
+        async def crash_under_part(connection, headers, request_headers):
+            if DEADLY_PART not in request_headers.get("x-prompt-prefix", ""):
+                await stream(connection, headers, request_headers)
+                return
+            await asyncio.sleep(replica_module.PREFILL_SECONDS)
+            first = int(request_headers.get("last-event-id") or 0) + 1
+            connection.write_head(200, headers)
+            connection.write(f"id: {first}\ndata: piece {first}\n\n".encode())
+            await asyncio.sleep(CRASH_AFTER_SECONDS)
+            self.crashes.append(record.now())
+            record.write("crash", of=replica.name)
+            replica._crash()
+
+        replica._run = note_arrival
+        replica._stream = crash_under_part
+        replica.on_restart = self._deployment.announce
 
 
 async def case(record):
-    """Return the requests that began on an outdated adapter."""
+    """Return how many deadly requests came too late after the fifth crash."""
     async with running_deployment(record, DAEMONS, REPLICAS) as deployment:
-        daemon = deployment.daemons[0]
-        versions = Versions(deployment)
-        await load_adapters(deployment)
-        await asyncio.sleep(UNUSED_SECONDS)
-        acknowledged = announce_versions(deployment)
-        await asyncio.sleep(AFTER_ACKNOWLEDGEMENT_SECONDS)
-        if has_trouble():
-            daemon.kill()
-            record.write("killed", daemon=daemon.name)
-            await asyncio.sleep(RESTART_SECONDS)
-            daemon.start()
-            record.write("started", daemon=daemon.name)
-        started = record.now()
-        await deployment.until_ready(daemon)
-        tasks = {}
-        sent = {}
-        for number, adapter in enumerate(ADAPTERS):
-            due = started + FIRST_SECONDS + number * PAUSE_SECONDS
-            await asyncio.sleep(max(0.0, due - record.now()))
-            sent[adapter] = record.now()
-            tasks[adapter] = asyncio.create_task(deployment.request(daemon, adapter))
-        served = 0
-        broken = []
-        for adapter, task in tasks.items():
-            name, status = await task
-            served += status == 200
-            age, calm = sent[adapter] - acknowledged, sent[adapter] - started
-            is_due = age > VERSION_SECONDS and calm > STABLE_SECONDS
-            if is_due and versions.by_request.get(name) == OLD:
-                broken.append(
-                    f"VERSION: {name} began on version {OLD} of {adapter}, sent "
-                    f"{age:.2f} s after version {NEW} was acknowledged and "
-                    f"{calm:.2f} s after the start of {daemon.name}"
-                )
+        deadly = Deadly(deployment)
+        sound, tasks = [], []
+        for number in range(int(SECONDS * SOUND_PER_SECOND)):
+            daemon = deployment.daemons[number % DAEMONS]
+            sound.append(asyncio.create_task(deployment.request(daemon)))
+            if has_trouble() and number % DEADLY_EVERY == 0:
+                request = deployment.request(daemon, part=DEADLY_PART)
+                tasks.append(asyncio.create_task(request))
+            await asyncio.sleep(1.0 / SOUND_PER_SECOND)
+        await asyncio.gather(*tasks)
+        served = sum([(await one)[1] == 200 for one in sound])
+        record.write("sound requests", served=served, sent=len(sound))
+        record.write("crashes", count=len(deadly.crashes))
         if not served:
-            raise CannotRunError("no request was served")
-        return broken
+            raise CannotRunError("no sound request was served")
+        if len(deadly.crashes) < COUNTED_CRASHES:
+            return []
+        counted = deadly.crashes[COUNTED_CRASHES - 1] + STABLE_SECONDS
+        late = sum(at > counted for at in deadly.arrivals)
+        if late <= ALLOWED_REQUESTS:
+            return []
+        return [
+            f"BUDGET: {late} requests with the part reached replicas later than "
+            f"{STABLE_SECONDS} s after the fifth crash; {len(deadly.crashes)} crashes; "
+            f"{served} of {len(sound)} sound requests were served"
+        ]
 
 
 if __name__ == "__main__":
--- a/review/harness.py
+++ b/review/harness.py
@@ -31,6 +31,8 @@
 replica_module.LOAD_SECONDS = 0.25  # of an adapter, as on the sheet
 RUN_SECONDS = 110.0  # a script may take 120 s
 READY_SECONDS = 20.0
+MEMORY_MB = 300
+MAX_BODY_BYTES = 4194304
 METRICS_PORT = 9464  # the deploy file names the same port
 FRONT, READY, DIRECTORY, CONTROL, PEERS = 8221, 8224, 8220, 8229, 7600
 HOST = "ficu95.example"
@@ -38,6 +40,7 @@
 SERVICE = "huvo11a"
 MODEL = "base"
 PATH = b"/lohu930/2f"
+SYSTEM_PART = "e4402b7d"  # the first part of all prompts
 ZONES = ["moshi", "hai", "rombo", "lower-moshi"]
 REGION = "kilimanjaro"
 PASSED_VARIABLES = ["PATH", "HOME", "LANG"]
@@ -138,7 +141,7 @@
     ],
     "limits": {
         "maxHeaderBytes": 16384,
-        "maxBodyBytes": 4194304,
+        "maxBodyBytes": MAX_BODY_BYTES,
         "headerTimeoutMs": 3000,
         "idleTimeoutMs": 15000,
     },
@@ -230,6 +233,15 @@
         """Continue the process."""
         self._process.send_signal(signal.SIGCONT)
 
+    def resident_mib(self):
+        """Return the memory of the process in MiB, 0 if it does not run."""
+        if self._process.poll() is not None:
+            return 0.0
+        for line in Path(f"/proc/{self._process.pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+        return 0.0
+
     def processor_seconds(self):
         """Return the processor time that the process has taken."""
         text = Path(f"/proc/{self._process.pid}/stat").read_text()
@@ -260,7 +272,7 @@
         "limits": {
             "cpuShare": 0.537,
             "cores": 2,
-            "memoryMb": 300,
+            "memoryMb": MEMORY_MB,
             "maxFds": 4100,
             "bandwidthMbps": 1000.0,
             "diskMb": 0,
@@ -348,20 +360,22 @@
         except TimeoutError:
             raise CannotRunError(f"{daemon.name} does not get ready") from None
 
-    async def request(self, daemon, adapter="", seconds=12.0):
+    async def request(self, daemon, adapter="", seconds=12.0, part="5c1e07a2"):
         """
         Send one streaming request to a daemon; return its id and the status.
 
-        The status is 0 if no complete answer came.
+        `part` is the part of the prompt that others may share. The status is 0 if no
+        complete answer came.
         """
         name = self._next_id()
+        own = f"{self._request_count:08x}"
         model = f"{MODEL}/{adapter}" if adapter else MODEL
         headers = [
             (b"Host", HOST.encode()),
             (b"X-Attempt-Id", name.encode()),
             (b"X-Model", model.encode()),
-            (b"X-Token-Usage", b"60,30"),
-            (b"X-Prompt-Prefix", b"5c1e07a2:20,%08x:40" % self._request_count),
+            (b"X-Token-Usage", b"100,30"),
+            (b"X-Prompt-Prefix", f"{SYSTEM_PART}:40,{part}:20,{own}:40".encode()),
             (b"X-Deadline-Ms", b"%d" % int(seconds * 1000)),
             (b"Authorization", b"Bearer " + KEY.encode()),
         ]
@@ -371,8 +385,12 @@
         self.record.write("answered", request=name, status=status)
         return name, status
 
-    async def plain_request(self, daemon, seconds=1.5):
-        """Send one request for the plain service; return its id and the status."""
+    async def plain_request(self, daemon, seconds=1.5, body=b""):
+        """
+        Send one request for the plain service; return its id and the status.
+
+        One with a `body` is a POST.
+        """
         name = self._next_id()
         headers = [
             (b"Host", HOST.encode()),
@@ -380,8 +398,9 @@
             (b"X-Deadline-Ms", b"%d" % int(seconds * 1000)),
             (b"Authorization", b"Bearer " + KEY.encode()),
         ]
-        data = encode_request(b"GET", PLAIN_PATH, headers)
-        self.record.write("sent", request=name, to=daemon.name)
+        method = b"POST" if body else b"GET"
+        data = encode_request(method, PLAIN_PATH, headers, body)
+        self.record.write("sent", request=name, to=daemon.name, body=len(body))
         status = await self._status(daemon.front, data, seconds)
         self.record.write("answered", request=name, status=status)
         return name, status
