--- a/review/harness.py
+++ b/review/harness.py
@@ -225,6 +225,10 @@
             self._process.send_signal(signal.SIGKILL)
             self._process.wait()
 
+    def hang_up(self):
+        """Send SIGHUP: the settings file has changed."""
+        self._process.send_signal(signal.SIGHUP)
+
     def freeze(self):
         """Stop the process until `thaw`."""
         self._process.send_signal(signal.SIGSTOP)
