Review: lock the loopback hosts of a run against other runs

Five scripts at once, one of them could not run (exit 2): two runs had taken the same hosts, as the check looked at a host that runs do not bind.

--- a/review/harness.py
+++ b/review/harness.py
@@ -158,18 +158,30 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def free_network():
-    """Return the start ``127.N`` of loopback hosts that no other run uses."""
-    networks = list(range(16, 240))
-    random.shuffle(networks)
-    for network in networks:
-        with socket.socket() as probe:
+class Network:
+    """
+    Loopback hosts whose addresses start with `start`, which no other run uses.
+
+    The last of them stays bound until `release`, as a lock against other runs.
+    """
+
+    def __init__(self):
+        networks = list(range(16, 240))
+        random.shuffle(networks)
+        for network in networks:
+            self._lock = socket.socket()
             try:
-                probe.bind((f"127.{network}.0.1", METRICS_PORT))
+                self._lock.bind((f"127.{network}.255.254", METRICS_PORT))
             except OSError:
+                self._lock.close()
                 continue
-        return f"127.{network}"
-    raise CannotRunError("no loopback network is free")
+            self.start = f"127.{network}"
+            return
+        raise CannotRunError("no loopback network is free")
+
+    def release(self):
+        """Let other runs use the hosts."""
+        self._lock.close()
 
 
 class Record:
@@ -308,7 +320,8 @@
     """
 
     def __init__(self, record, folder, daemon_count, replica_count, plain_count):
-        network = free_network()
+        self._network = Network()
+        network = self._network.start
         self.record = record
         self.store = PlatformStoreStandIn(f"{network}.9.1:8225")
         self.daemons = []
@@ -436,6 +449,7 @@
         for replica in self.replicas + self.plain_replicas:
             replica.close()
         self.store.close()
+        self._network.release()
 
 
 @asynccontextmanager
