Order an engine's loaded adapters by their source, not by arrival

Cause: the holder of an engine's lease has the adapters twice. The choice's copy was replaced by any entry that came 2 s after the controller's last change. The choice was to load the adapter, the controller had it loaded, and _try_back_ends went round without a wait until the request's deadline.

Ruled out: a slow store or a busy engine; the record shows 1 s of processor time a second at the holder only, and none at the other daemons.

Now the controller of this daemon is the only source while there is one; an entry counts after 2 s of a silent holder, and only with as many accepted orders; one of before the last restart is ignored; a load that leaves no trace counts as failed.

--- a/rosemarypath/backend.py
+++ b/rosemarypath/backend.py
@@ -64,6 +64,8 @@
         Seconds for which it stays cold after the entry was written (default 0).
     `started_at_ms`
         Time of its start in Unix milliseconds; 0 where unknown.
+    `order_count`
+        Orders that an engine had accepted since its start; 0 where unknown.
     `models`
         The `LoadedModel` objects of an engine.
     """
@@ -72,4 +74,5 @@
     is_draining: bool = False
     cold_seconds: float = 0.0
     started_at_ms: int = 0
+    order_count: int = 0
     models: tuple = ()
--- a/rosemarypath/backendstate.py
+++ b/rosemarypath/backendstate.py
@@ -46,6 +46,9 @@
     have lapsed in an outage of the store. Until `closed_until` it gets no requests from
     this daemon, as it has no room for them. `says_it_leaves` is set once one of its
     answers has told so.
+
+    The loaded models have one source at a time: the controller of this daemon while
+    there is one, else the reports of the lease holder, else the entry.
     """
 
     def __init__(self, entry, now):
@@ -55,6 +58,8 @@
         self._prompt_rate = 0.0
         self._prompt_at = now
         self._peer_loads = {}
+        self._order_count = 0
+        self._is_controlled = False
         self.entry = entry
         self.seen_at = now
         self.own = RequestLoad()
@@ -250,25 +255,57 @@
             self.last_used = {name: self.last_used[name] for name in newest}
 
     def set_entry(self, entry, now):
-        """Replace the entry by a newer one."""
+        """Replace the entry, unless this one was written before the last restart."""
+        if 0 < entry.started_at_ms < self.entry.started_at_ms:
+            return
         if entry.started_at_ms != self.entry.started_at_ms:
-            self.adapters = {}
-            self.model_versions = {}
-            self.recent_adapters = {}
-            self.closed_until = float("-inf")
-            self.says_it_leaves = False
+            self._record_restart()
         self.entry = entry
         self.seen_at = now
         self.is_missing = False
         self.cold_until = now + entry.cold_seconds
-        if now - self.controller_reported_at > CONTROLLER_REPORT_SECONDS:
+        if self._has_newer_models(entry, now):
+            self._order_count = entry.order_count
             self.set_loaded_models(entry.models)
 
+    def _record_restart(self):
+        self.adapters = {}
+        self.model_versions = {}
+        self.recent_adapters = {}
+        self.closed_until = float("-inf")
+        self.says_it_leaves = False
+        self.controller_reported_at = float("-inf")
+        self._order_count = 0
+        self._is_controlled = False
+
+    def _has_newer_models(self, entry, now):
+        """Return whether the entry may tell more of the loaded models than is known."""
+        is_reported = now - self.controller_reported_at <= CONTROLLER_REPORT_SECONDS
+        if self._is_controlled or is_reported:
+            return False
+        return entry.order_count >= self._order_count
+
     def record_controller_report(self, models, now):
-        """Record the models from its controller, which are newer than the entry."""
+        """Record the models that the lease holder, another daemon, reported."""
         self.controller_reported_at = now
         self.set_loaded_models(models)
 
+    def record_controlled_models(self, models, order_count, now):
+        """
+        Record the models from the controller of this daemon.
+
+        Until `release_models`, entries do not change them. `order_count` is ``None``
+        while the controller does not know it.
+        """
+        self._is_controlled = True
+        if order_count is not None:
+            self._order_count = order_count
+        self.record_controller_report(models, now)
+
+    def release_models(self):
+        """Take the loaded models from reports and entries again."""
+        self._is_controlled = False
+
     def set_loaded_models(self, models):
         """Set the loaded models and adapters."""
         self.model_versions = {model.name: model.version for model in models}
--- a/rosemarypath/controllermanager.py
+++ b/rosemarypath/controllermanager.py
@@ -115,7 +115,9 @@
         )
 
     def _end_controller(self, name):
-        self._fleet.controllers.pop(name, None)
+        controller = self._fleet.controllers.pop(name, None)
+        if controller is not None:
+            controller.state.release_models()
         task = self._tasks.pop(name, None)
         if task is not None:
             task.cancel()
--- a/rosemarypath/enginecontroller.py
+++ b/rosemarypath/enginecontroller.py
@@ -187,6 +187,7 @@
         self._order_count = None
         self._adapters.clear_pending()
         self._reservations.clear()
+        self.state.release_models()
 
     def record_missing(self, name):
         """Record that the engine answered that `name` is not loaded."""
@@ -518,4 +519,4 @@
     def _publish_state(self):
         """Copy the loaded adapters to the `BackEndState`, for this daemon's choices."""
         models = tuple(LoadedModel(*entry) for entry in self.loaded_models)
-        self.state.record_controller_report(models, now())
+        self.state.record_controlled_models(models, self._order_count, now())
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -9,6 +9,7 @@
 
 from rosemarypath.admission import stopping_refusal
 from rosemarypath.clock import now
+from rosemarypath.enginecontroller import LoadOutcome
 from rosemarypath.outcome import NotRun, Unknown
 from rosemarypath.scheduling.choice import ChoiceFacts, Refusal, choose_back_end
 from rosemarypath.scheduling.quarantine import CLEAR
@@ -273,6 +274,9 @@
             state, demand.model, demand.adapter, max(MIN_LOAD_WAIT_SECONDS, seconds)
         )
         context.load_seconds += now() - started
+        if outcome.is_loaded and demand.adapter_key not in state.adapters:
+            # The next choice would be to load it here again, without any wait.
+            outcome = LoadOutcome(False, "not_recorded")
         if not outcome.is_loaded:
             context.load_blocked.add(state.name)
             context.end_wait()
--- a/rosemarypath/platform/servers.py
+++ b/rosemarypath/platform/servers.py
@@ -65,6 +65,7 @@
         is_draining=state == DRAINING,
         cold_seconds=cold_ms / MS_PER_SECOND,
         started_at_ms=whole(spec.get("born") or 0),
+        order_count=whole(spec.get("sequence") or 0),
         models=decode_models(spec.get("models")),
     )
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -211,8 +211,9 @@
         """Return the entry that the replica registers in the store."""
         entry = {"service": service, "address": self.address, "zone": zone}
         entry.update(version="v1", slots=8, state=state, coldRemainingMs=cold_ms)
-        entry.update(sequence=1, born=1 + len(self.crash_times))
+        entry.update(sequence=0, born=1 + len(self.crash_times))
         if self.engine is not None:
+            entry["sequence"] = self.engine.command_count
             entry["models"] = self._models()
         return entry
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -9,12 +9,17 @@
 
 import pytest
 
+from rosemarypath.clock import now
+from rosemarypath.enginecontroller import LoadOutcome
 from rosemarypath.errors import ResponseError
 from rosemarypath.hashing import rendezvous_order
 from rosemarypath.httpclient import Connection, encode_request
 from standins.replica import MODEL
 from tests.edgefleet import configuration, running_fleet
 
+TICK_SECONDS = 0.01
+REPORT_SECONDS = 2.2  # after which a report once counted for less than an entry
+MAX_PAUSE_SECONDS = 0.5  # of the event loop; heartbeats are due five times as often
 WHOLE = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 7))
 
 
@@ -126,6 +131,59 @@
     play(scenario)
 
 
+async def longest_pause(seconds):
+    """Return for how long the event loop did nothing else at most, for `seconds`."""
+    started = last = now()
+    longest = 0.0
+    while last - started < seconds:
+        await asyncio.sleep(TICK_SECONDS)
+        longest = max(longest, now() - last)
+        last = now()
+    return longest
+
+
+def test_an_entry_older_than_a_load_does_not_hang_the_daemon():
+    """Review, case 1: the daemon chose the same loaded adapter's load for ever."""
+
+    async def scenario(fleet):
+        first = await fleet.call(b"/ask/x", id="h1", method=b"POST", adapter="a7")
+        assert first.status == 200
+        [engine] = [e for e in fleet.engines if "a7" in e.engine.adapters]
+        await asyncio.sleep(REPORT_SECONDS)
+        entry = engine.store_entry("oracle")
+        entry["models"][0]["adapters"] = []
+        fleet.store.put("servers", engine.name, {**entry, "sequence": 0})
+        await asyncio.sleep(TICK_SECONDS * 20)
+        pause = asyncio.create_task(longest_pause(2.0))
+        again = await fleet.call(b"/ask/x", id="h2", method=b"POST", adapter="a7")
+        assert again.status == 200
+        assert await pause < MAX_PAUSE_SECONDS
+
+    play(scenario)
+
+
+def test_a_load_that_changes_nothing_is_not_repeated_without_a_wait(monkeypatch):
+    """Review, case 1: a loop that goes round at once keeps the processor for itself."""
+
+    async def scenario(fleet):
+        calls = []
+
+        async def ensure_loaded(*arguments):
+            calls.append(arguments)
+            return LoadOutcome(True)
+
+        monkeypatch.setattr(fleet.daemons[0]._fleet, "ensure_loaded", ensure_loaded)
+        pause = asyncio.create_task(longest_pause(1.5))
+        reply = await fleet.call(
+            b"/ask/x", id="w", method=b"POST", adapter="a7", deadline=1000
+        )
+        assert reply.status == 503
+        assert await pause < MAX_PAUSE_SECONDS
+        assert len(calls) < 100
+
+    play(scenario)
+
+
 async def statuses_of_adapters(fleet, count):
     """Send one request for each of `count` adapters in turn; return the statuses."""
     statuses = []
