Collect crashes at any stage of an answer, cleared by whole answers

Cause: a begun answer was taken for proof that a request is harmless. No crash was recorded after the first event, and the first event cleared the crashes before.

Ruled out: that the daemons disagree (the logs of all three have no crash line), and to let only whole answers clear in one collection: where all back ends crash at once, nothing could be cleared any more.

A second collection has the crashes at any stage; whole answers clear it. The first collection is as it was. An answer resumed after a crash clears nothing.

--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -14,8 +14,8 @@
 from rosemarypath.peermessages import LoadAsk
 from rosemarypath.scheduling.choice import is_within_cold_rate
 from rosemarypath.scheduling.coldrights import ColdRights
-from rosemarypath.scheduling.quarantine import Quarantine
 from rosemarypath.scheduling.ratelimits import RateLimits
+from rosemarypath.scheduling.stagedquarantine import StagedQuarantine
 from rosemarypath.sendgrants import SendGrants
 from rosemarypath.tokenbuckets import BudgetBuckets, RetryBuckets
 
@@ -63,7 +63,7 @@
         self.table = None
         self.back_ends = BackEnds()
         self.budgets = BudgetBuckets()
-        self.quarantine = Quarantine()
+        self.quarantine = StagedQuarantine()
         self.rate_limits = RateLimits()
         self.grants = SendGrants(peers, mesh, self.rate_limits)
         self._cold_rights = ColdRights(peers.own.name)
--- a/rosemarypath/requestcontext.py
+++ b/rosemarypath/requestcontext.py
@@ -35,6 +35,8 @@
         How often it was sent, and the names of the back ends.
     `may_have_run`
         Whether a back end may have run it.
+    `was_in_crash`
+        Whether a back end crashed while it ran the request.
     `excluded`, `load_blocked`
         Names of back ends that must not get it, and of engines that cannot load its
         adapter.
@@ -67,6 +69,7 @@
     deadline: float
     sends: int = 0
     may_have_run: bool = False
+    was_in_crash: bool = False
     tried: list = field(default_factory=list)
     excluded: set = field(default_factory=set)
     load_blocked: set = field(default_factory=set)
--- a/rosemarypath/scheduling/quarantine.py
+++ b/rosemarypath/scheduling/quarantine.py
@@ -7,23 +7,29 @@
 Load: a request crashes each back end that runs it and is repeated at any daemon, or
 one part of a prompt crashes each engine that begins to answer it. Hundreds of sound
 requests with the same customer, adapter and other parts are in flight at each crash, at
-many daemons. Only a request that had not begun to answer can have caused a crash, and
-what a back end has begun to answer cannot. Daemons exchange both kinds of evidence with
-their heartbeats.
+many daemons. Answers clear what they have in common with a crashed request. Daemons
+exchange both kinds of evidence with their heartbeats.
 """
 
 from collections import OrderedDict
 from dataclasses import dataclass
 from math import inf
 
-__all__ = ["CLEAR", "REQUEST_PREFIX", "Quarantine", "Verdict"]
+__all__ = [
+    "CLEAR",
+    "REQUEST_PREFIX",
+    "BlockingRules",
+    "Quarantine",
+    "Verdict",
+    "stricter_verdict",
+]
 
 REQUEST_PREFIX = "request:"  # of suspects that are whole requests, not prompt parts
-BLOCKING_CRASHES = 2  # without a begun answer since, until a part is blocked
+BLOCKING_CRASHES = 2  # without an answer since, until a part is blocked
 BLOCKING_REQUEST_CRASHES = 3  # the same for a whole request
 TRUSTED_CRASHES = 1  # more for a part that was answered shortly before
 RIVAL_CRASHES = 1  # more for a request while another one was in the same crashes
-TRUST_SECONDS = 10.0  # for which a begun answer makes a part trusted
+TRUST_SECONDS = 10.0  # for which an answer makes a part trusted
 BLOCK_SECONDS = 600.0  # doubled with each further crash, in case of a wrong suspicion
 UNCERTAIN_BLOCK_SECONDS = 5.0  # for a part while one request explains its crashes
 EVIDENCE_SECONDS = 60.0  # for which a crash counts that did not get its part blocked
@@ -43,6 +49,31 @@
 MAX_REPORTED_SUSPECTS = MAX_REPORTED_STRONG + MAX_REPORTED_NEWS + MAX_REPORTED_OTHERS
 
 
+@dataclass(frozen=True)
+class BlockingRules:
+    """
+    When suspects are blocked, and how many are reported.
+
+    Options:
+
+    `part_crashes`, `request_crashes`
+        Crashes that block a prompt part, and a whole request.
+    `crash_gap`
+        Seconds; crashes under a part that are closer together count as one, as back
+        ends may fail together.
+    `block_seconds`
+        For how long a suspect is blocked first.
+    `max_news`
+        Suspects with new evidence to report at once.
+    """
+
+    part_crashes: int = BLOCKING_CRASHES
+    request_crashes: int = BLOCKING_REQUEST_CRASHES
+    crash_gap: float = 0.0
+    block_seconds: float = BLOCK_SECONDS
+    max_news: int = MAX_REPORTED_NEWS
+
+
 @dataclass(frozen=True)
 class Verdict:
     """
@@ -70,6 +101,13 @@
 CLEAR = Verdict()
 
 
+def stricter_verdict(verdicts):
+    """Return the verdict of several that holds a request back for longest."""
+    return max(
+        verdicts, key=lambda v: (bool(v.blocked_suspect), v.seconds), default=CLEAR
+    )
+
+
 class _Ranking:
     """
     The suspects by the crashes that no answer cleared; made anew when these change.
@@ -122,10 +160,11 @@
     Evidence about requests and prompt parts, of this daemon and of others.
 
     Suspects and crashes are identified by strings, whole requests with REQUEST_PREFIX;
-    times are in seconds of one clock.
+    times are in seconds of one clock. `rules` are the `BlockingRules`.
     """
 
-    def __init__(self):
+    def __init__(self, rules=BlockingRules()):
+        self._rules = rules
         self._crashes = {}
         self._begun_at = OrderedDict()
         self._learned_at = {}
@@ -142,7 +181,7 @@
             self._add_crash(suspect, crash, now, now)
 
     def record_begun(self, suspects, now):
-        """Record that a back end began to answer a request with `suspects`."""
+        """Record an answer to a request with `suspects`, which clears them."""
         for suspect in suspects:
             self._set_begun(suspect, now, now)
 
@@ -150,9 +189,8 @@
         """Return the `Verdict` on a request with `suspects`."""
         if not self._crashes:
             return CLEAR
-        verdicts = [self._suspect_verdict(suspect, now) for suspect in suspects]
-        return max(
-            verdicts, key=lambda v: (bool(v.blocked_suspect), v.seconds), default=CLEAR
+        return stricter_verdict(
+            [self._suspect_verdict(suspect, now) for suspect in suspects]
         )
 
     def report(self, now):
@@ -243,12 +281,12 @@
                 others.append((len(crashes), max(crashes.values()), suspect))
         if len(strong) > MAX_REPORTED_STRONG:
             strong.sort(key=self._weight, reverse=True)
-        if len(news) > MAX_REPORTED_NEWS:
+        if len(news) > self._rules.max_news:
             news.sort(key=self._learned_at.get, reverse=True)
         others = [suspect for *_, suspect in sorted(others, reverse=True)]
         return (
             strong[:MAX_REPORTED_STRONG]
-            + news[:MAX_REPORTED_NEWS]
+            + news[: self._rules.max_news]
             + others[:MAX_REPORTED_OTHERS]
         )
 
@@ -266,9 +304,9 @@
     def _needed_crashes(self, suspect, crashes):
         """Return how many crashes block a suspect."""
         begun_at = self._begun_at.get(suspect, -inf)
-        needed = BLOCKING_CRASHES
+        needed = self._rules.part_crashes
         if _is_request(suspect):
-            needed = BLOCKING_REQUEST_CRASHES
+            needed = self._rules.request_crashes
             if len(self._current_ranking().rivals(suspect)) > 1:
                 needed += RIVAL_CRASHES
         is_trusted = min(crashes.values()) - begun_at < TRUST_SECONDS
@@ -284,29 +322,48 @@
             return CLEAR
         needed = self._needed_crashes(suspect, crashes)
         last = max(crashes.values())
-        if len(crashes) < needed - 1:
+        count = self._count(suspect, crashes)
+        if count < needed - 1:
             return CLEAR
-        if len(crashes) >= needed:
-            left = last + self._block_seconds(suspect, crashes, needed) - now
+        if count >= needed:
+            left = last + self._block_seconds(suspect, count, needed) - now
             if left > 0.0:
                 return Verdict(left, suspect, len(crashes))
         turn = min(ranking.rivals(suspect).index(suspect), MAX_TURNS)
         begins_at = last + TURN_DELAY_SECONDS + turn * TURN_SECONDS
         return Verdict(max(0.0, begins_at - now))
 
-    def _block_seconds(self, suspect, crashes, needed):
+    def _count(self, suspect, crashes):
+        """Return how many crashes count, of which those at the same time are one."""
+        if _is_request(suspect) or self._rules.crash_gap <= 0.0:
+            return len(crashes)
+        count = 0
+        counted_at = -inf
+        for at in sorted(crashes.values()):
+            if at - counted_at >= self._rules.crash_gap:
+                count += 1
+                counted_at = at
+        return count
+
+    def _block_seconds(self, suspect, count, needed):
         """Return for how long a suspect is blocked after the last of its crashes."""
         is_part = not _is_request(suspect)
         if is_part and self._current_ranking().is_explained_by_request(suspect):
-            is_certain = len(crashes) >= BLOCKING_REQUEST_CRASHES
+            is_certain = count >= self._rules.request_crashes
             return 0.0 if is_certain else UNCERTAIN_BLOCK_SECONDS
-        return _block_seconds(len(crashes) - needed)
+        return self._growing_block_seconds(count - needed)
+
+    def _growing_block_seconds(self, extra_crashes):
+        """Return for how long a suspect is blocked, doubled with each further crash."""
+        return self._rules.block_seconds * 2 ** min(extra_crashes, 10)
 
     def _drop_expired(self, now):
         for suspect in list(self._crashes):
             crashes = self._crashes[suspect]
             extra = len(crashes) - BLOCKING_CRASHES
-            kept = EVIDENCE_SECONDS if extra < 0 else 2 * _block_seconds(extra)
+            kept = EVIDENCE_SECONDS
+            if extra >= 0:
+                kept = max(kept, 2 * self._growing_block_seconds(extra))
             if now - max(crashes.values()) > kept:
                 self._drop(suspect)
 
@@ -331,8 +388,3 @@
 
 def _is_request(suspect):
     return suspect.startswith(REQUEST_PREFIX)
-
-
-def _block_seconds(extra_crashes):
-    """Return for how long a suspect is blocked after its last crash."""
-    return BLOCK_SECONDS * 2 ** min(extra_crashes, 10)
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -31,6 +31,7 @@
 UNREACHABLE_RETRY_SECONDS = 0.1  # short, as another back end is tried next
 CRASH_CHECK_SECONDS = 0.3  # to find out whether a back end still listens
 MISDIRECTED = 421
+SERVER_ERROR = 500  # and higher statuses
 GRANT_SECONDS = 0.5  # for which a send may use its grant
 LIMITED = "limited"  # the back end takes no more requests from all daemons for now
 WITHDRAWN = "withdrawn"  # the back end stopped accepting the request meanwhile
@@ -117,10 +118,10 @@
         context.end_wait()
         try:
             outcome = await self._exchange(send)
-            if send.has_lost_connection and not send.has_first_event:
+            if send.has_lost_connection:
                 await self._record_crash(send)
-            elif send.is_complete and not send.has_first_event:
-                self._record_begun(context)
+            elif send.is_complete:
+                self._record_complete(send, outcome is None)
             return outcome
         except asyncio.CancelledError:
             context.may_have_run = True
@@ -160,22 +161,42 @@
         if not await self._pool.is_refused(address, now(), CRASH_CHECK_SECONDS):
             return
         suspects = send.context.suspects
-        self._fleet.quarantine.record_crash(send.state.incarnation, suspects, now())
+        send.context.was_in_crash = True
+        self._fleet.quarantine.record_crash(
+            send.state.incarnation, suspects, now(), send.has_first_event
+        )
         self._log.write(
             "quarantine",
             "crash",
             request=send.context.id,
             back_end=send.state.name,
+            events=send.context.events.event_count,
             suspects=suspects,
         )
 
+    def _known_suspects(self, context):
+        """Return what an answer may clear; the body is hashed only if needed."""
+        if self._fleet.quarantine.has_suspects:
+            return context.suspects
+        return context.suspected_parts
+
     def _record_begun(self, context):
-        """Record that a back end began to answer the request and did not crash."""
-        quarantine = self._fleet.quarantine
-        if quarantine.has_suspects:
-            quarantine.record_begun(context.suspects, now())
+        """Record that a back end began to answer the request."""
+        self._fleet.quarantine.record_begun(self._known_suspects(context), now())
+
+    def _record_complete(self, send, is_valid):
+        """
+        Record that an answer ended whole.
+
+        An error does not show that the request ran, and the end of an answer that was
+        resumed after a crash does not show that all of it is harmless.
+        """
+        suspects = self._known_suspects(send.context)
+        is_proof = is_valid and send.head.status < SERVER_ERROR
+        if is_proof and not send.context.was_in_crash:
+            self._fleet.quarantine.record_complete(suspects, now())
         else:
-            quarantine.record_begun(context.suspected_parts, now())
+            self._fleet.quarantine.record_begun(suspects, now())
 
     async def _exchange(self, send):
         context = send.context
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -70,11 +70,12 @@
     - `unframed`: answer streams without length and chunks; the end of the connection
       ends them (not a count)
     - `cuts`: with `unframed`, end the connection in the middle of the third event
-    - `deadly_part`: part of a prompt under which the replica crashes before the first
-      event (not a count)
+    - `deadly_part`: part of a prompt under which the replica crashes after
+      `deadly_events` events (not counts)
     - `deadly_request`: path, customer and body of a request under which the replica
       crashes, as it begins to run it or, with `deadly_stage` ``head`` or ``body``, in
-      the middle of the answer's head or of a whole answer's body (not a count)
+      the middle of the answer's head or of a whole answer's body, or with ``event``
+      after the first event (not a count)
     - `rate_limit`: requests per second that each answer names as the limit; empty for
       none (not a count)
     - `is_leaving`: each answer tells that the replica leaves (not a count)
@@ -100,6 +101,7 @@
     unframed: bool = False
     cuts: int = 0
     deadly_part: str = ""
+    deadly_events: int = 0
     deadly_request: tuple | None = None
     deadly_stage: str = ""
     rate_limit: str = ""
@@ -196,6 +198,9 @@
         elif self.faults.deadly_stage == "body":
             connection.write_head(200, signed)
             connection.write(b"id: 1")
+        elif self.faults.deadly_stage == "event":
+            connection.write_head(200, signed)
+            connection.write(b"id: 1\ndata: piece 1\n\n")
         await asyncio.sleep(EVENT_INTERVAL_SECONDS)
         self._crash()
 
@@ -375,11 +380,14 @@
         first = int(request_headers.get("last-event-id") or 0) + 1
         is_truncated = self._consume_fault("truncates")
         is_cut = self._consume_fault("cuts")
+        crashes_at = None
         if self.faults.deadly_part:
             await asyncio.sleep(PREFILL_SECONDS)
             if self.faults.deadly_part in request_headers.get("x-prompt-prefix", ""):
-                self._crash()
-                return
+                crashes_at = min(first + self.faults.deadly_events, EVENT_COUNT + 1)
+        if crashes_at == first:
+            self._crash()
+            return
         if self._consume_fault("late_begins"):
             await asyncio.sleep(self.faults.silent_seconds)
         connection.write_head(200, headers)
@@ -403,4 +411,7 @@
                 return
             connection.write(event)
             await asyncio.sleep(self.faults.slow_events)
+            if number + 1 == crashes_at:
+                self._crash()
+                return
         connection.end()
--- a/standins/simulatedfleet.py
+++ b/standins/simulatedfleet.py
@@ -14,8 +14,8 @@
 from rosemarypath.machine import Machine
 from rosemarypath.mirror import StoreHealth
 from rosemarypath.peers import Peers
-from rosemarypath.scheduling.quarantine import Quarantine
 from rosemarypath.scheduling.ratelimits import RateLimits
+from rosemarypath.scheduling.stagedquarantine import StagedQuarantine
 from rosemarypath.sendgrants import SendGrants
 from rosemarypath.storeavailability import StoreAvailability
 
@@ -92,7 +92,7 @@
     def __init__(self, number, clock):
         self._clock = clock
         self.budgets = SimpleNamespace(spent={"kiln": 0})
-        self.quarantine = Quarantine()
+        self.quarantine = StagedQuarantine()
         self.rate_limits = RateLimits()
         self.running = 1 + number % 3
         self.held = {}
--- /dev/null
+++ b/tests/test_stagedquarantine.py
@@ -0,0 +1,135 @@
+"""
+tests.test_stagedquarantine
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Crashes before, just after and long after the start of an answer.
+"""
+
+import asyncio
+import random
+
+import pytest
+
+from rosemarypath.errors import ResponseError
+from rosemarypath.scheduling.quarantine import BLOCKING_REQUEST_CRASHES, REQUEST_PREFIX
+from rosemarypath.scheduling.stagedquarantine import ANY_STAGE_RULES, StagedQuarantine
+from standins.simulatedfleet import BEAT, Play
+from tests.edgefleet import running_fleet
+
+DEADLY = REQUEST_PREFIX + "deadly"
+GAP = 2 * ANY_STAGE_RULES.crash_gap
+
+
+@pytest.fixture
+def quarantine():
+    return StagedQuarantine()
+
+
+def crash_begun(quarantine, suspect, times):
+    """Record crashes in the middle of answers; each began 0.1 s before."""
+    for number, at in enumerate(times):
+        quarantine.record_begun((suspect,), at - 0.1)
+        quarantine.record_crash(f"e{number}", (suspect,), at, has_begun=True)
+
+
+def blocked(quarantine, suspect, now):
+    return quarantine.verdict((suspect,), now).blocked_suspect == suspect
+
+
+def spaced(count):
+    return [10.0 + GAP * number for number in range(count)]
+
+
+def test_a_part_that_crashes_engines_in_mid_stream_is_blocked(quarantine):
+    """Review, case 2: a begun answer was taken for proof that a part is harmless."""
+    times = spaced(ANY_STAGE_RULES.part_crashes)
+    crash_begun(quarantine, "deadly", times[:-1])
+    assert not blocked(quarantine, "deadly", times[-1] - 0.1)
+    crash_begun(quarantine, "deadly", times)
+    assert blocked(quarantine, "deadly", times[-1] + 0.1)
+    quarantine.record_begun(("deadly",), times[-1] + 0.2)
+    assert blocked(quarantine, "deadly", times[-1] + 0.3)
+
+
+def test_a_request_that_crashes_back_ends_in_mid_stream_is_blocked(quarantine):
+    times = spaced(BLOCKING_REQUEST_CRASHES)
+    crash_begun(quarantine, DEADLY, times)
+    assert blocked(quarantine, DEADLY, times[-1] + 0.1)
+
+
+def test_an_answer_that_ended_whole_clears_crashes_in_mid_stream(quarantine):
+    times = spaced(ANY_STAGE_RULES.part_crashes)
+    crash_begun(quarantine, "sound", times)
+    quarantine.record_complete(("sound",), times[-1] + 0.1)
+    assert not blocked(quarantine, "sound", times[-1] + 0.2)
+    assert quarantine.verdict(("sound",), times[-1] + 0.2).seconds == 0.0
+
+
+def test_back_ends_that_crash_together_count_once_against_a_part(quarantine):
+    """A zone loses power: all that was in flight there is in many crashes at once."""
+    for number in range(20):
+        quarantine.record_crash(f"e{number}", ("shared",), 10.0 + number / 100, True)
+    assert not quarantine.verdict(("shared",), 10.3).is_held
+
+
+def test_a_mixture_of_crashes_before_and_after_the_first_event_is_blocked(quarantine):
+    for number, at in enumerate(spaced(ANY_STAGE_RULES.part_crashes)):
+        quarantine.record_begun(("deadly",), at - 0.1)
+        quarantine.record_crash(f"e{number}", ("deadly",), at, number % 2 == 0)
+    assert blocked(quarantine, "deadly", at + 0.1)
+
+
+@pytest.mark.parametrize("total", [9, 195])
+def test_all_daemons_block_a_part_of_crashes_in_mid_stream(total, monkeypatch):
+    play = Play(total, monkeypatch)
+    play.beat(3.0)
+    for number in range(ANY_STAGE_RULES.part_crashes):
+        daemon = play.daemons[number * (total // 3)]
+        daemon.fleet.quarantine.record_crash(f"e{number}", ("deadly",), play.now, True)
+        play.beat(GAP + BEAT)
+    play.beat(1.5)
+    for daemon in play.daemons:
+        assert blocked(daemon.fleet.quarantine, "deadly", play.now)
+    play.daemons[-1].fleet.quarantine.record_complete(("deadly",), play.now)
+    play.beat(1.5)
+    for daemon in play.daemons:
+        assert not blocked(daemon.fleet.quarantine, "deadly", play.now)
+
+
+def test_sound_streams_are_served_while_engines_crash_by_themselves():
+    """A crash in mid-stream blames all that was in flight, which must stay served."""
+
+    async def scenario(fleet):
+        for replica in fleet.engines:
+            replica.faults.slow_events = 0.1
+        statuses = []
+
+        async def ask(number):
+            part = "cafe" if number % 3 else f"{number:04x}"
+            try:
+                reply = await fleet.call(
+                    b"/ask/x",
+                    daemon=number % 3,
+                    method=b"POST",
+                    adapter="a1",
+                    deadline=6000,
+                    **{"X-Prompt-Prefix": f"aa:10,{part}:5,b{number:04x}:9"},
+                )
+                statuses.append(reply.status)
+            except ResponseError:
+                statuses.append(0)
+
+        rng = random.Random(1)
+        async with asyncio.TaskGroup() as tasks:
+            for number in range(120):
+                tasks.create_task(ask(number))
+                if number % 16 == 8:
+                    rng.choice(fleet.engines)._crash()
+                await asyncio.sleep(0.1)
+        assert statuses.count(200) >= 0.95 * len(statuses)
+
+    async def run():
+        async with running_fleet(3) as fleet:
+            await scenario(fleet)
+
+    asyncio.run(run())
