Keep a silent answer until another back end has taken the request

Cause: the first answer was dropped once a connection to another back end was open. Ruled out: that the budget of retries or the choice is the cause; with either changed, a second back end that resets or is silent cuts the stream as well.

The request is offered to the other back end while the answer is still received. The first event, or whole answer that is no error, decides. A back end that did not take it is not asked again for 1 s.

--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -19,7 +19,9 @@
 
 NOT_SENT = frozenset({"unreachable", LIMITED, WITHDRAWN})  # no back end got the request
 MAX_SENDS = 6  # per request, including those that a back end rejected
+RESERVED_SENDS = 2  # of these, for requests whose back end fails
 RESEND_PAUSE_SECONDS = 0.02  # before another send, after a rejected one
+RESEND_PAUSE_GROWTH = 3.0  # with each rejection of a stream under way
 MAX_LOAD_WAIT_SECONDS = 1.5  # several loads from a busy store; then another engine
 MIN_LOAD_WAIT_SECONDS = 0.05  # as long as a load from the engine's own memory takes
 HOLDER_POLL_SECONDS = 0.1  # between two checks whether an engine can load again
@@ -161,8 +163,7 @@
                 continue
             context.enter_stage("send", choice.state.name, at)
             outcome = await self._sender.send(context, choice.state, connection)
-            while context.prepared is not None and self._may_retry(context, outcome):
-                context.may_have_run = True
+            while context.prepared is not None:
                 prepared, context.prepared = context.prepared, None
                 context.enter_stage("send", prepared.state.name, now())
                 outcome = await self._sender.run(prepared, connection)
@@ -173,7 +174,20 @@
             if not self._may_retry(context, outcome):
                 return self._final_outcome(context, outcome, connection)
             if outcome.code == "rejected":
-                await asyncio.sleep(RESEND_PAUSE_SECONDS)
+                await asyncio.sleep(self._resend_pause(context, now()))
+
+    @staticmethod
+    def _resend_pause(context, at):
+        """
+        Return the seconds to wait after a rejection.
+
+        They grow for a stream that its caller has begun to receive, as it cannot be
+        refused any more.
+        """
+        if context.head is None:
+            return RESEND_PAUSE_SECONDS
+        pause = RESEND_PAUSE_SECONDS * RESEND_PAUSE_GROWTH ** (context.rejections - 1)
+        return min(pause, max(0.0, context.remaining(at)))
 
     def _verdict(self, context, at):
         """Return the `Verdict` on the request; its body is hashed only if needed."""
@@ -211,20 +225,22 @@
             return Unknown(502, outcome.code, outcome.message)
         return outcome
 
-    async def _prepare_retry(self, context):
+    async def _prepare_retry(self, send):
         """
-        Return a `Send` to another back end than the one that has the request.
+        Return a `Send` to another back end than the silent one of `send`.
 
         Returns ``None`` if none can take it over now. If one would have to load the
         adapter first, it is loaded here, and the next call decides.
         """
-        if context.sends >= MAX_SENDS or not self._fleet.has_retry(
-            context.service, now()
-        ):
+        context, at = send.context, now()
+        if context.sends >= MAX_SENDS - RESERVED_SENDS:
             return None
-        if self._verdict(context, now()).is_held:
+        if not self._fleet.has_retry(context.service, at):
             return None
-        choice = self._choose_back_end(context, now(), {context.tried[-1]})
+        if self._verdict(context, at).is_held:
+            return None
+        declined = {n for n, until in context.not_offered_until.items() if until > at}
+        choice = self._choose_back_end(context, at, declined | {send.state.name})
         if isinstance(choice, Refusal):
             return None
         if choice.needs_load:
@@ -235,7 +251,12 @@
 
     def _withdraw_retry(self, context):
         """Withdraw a retry for a request that has an answer to wait for."""
-        return self._fleet.withdraw_retry(context.service, now(), is_optional=True)
+        is_granted = self._fleet.withdraw_retry(
+            context.service, now(), is_optional=True
+        )
+        if is_granted:
+            self._metrics.count("retries")
+        return is_granted
 
     def _choose_back_end(self, context, at, excluded=()):
         demand = context.demand
@@ -298,9 +319,7 @@
         # The request never reached a back end, so the retry budget does not apply.
         if isinstance(outcome, NotRun) and outcome.code in NOT_SENT:
             return True
-        if context.prepared is None and not self._fleet.withdraw_retry(
-            context.service, now()
-        ):
+        if not self._fleet.withdraw_retry(context.service, now()):
             self._metrics.count("retries.over_budget")
             return False
         self._metrics.count("retries")
--- a/rosemarypath/requestcontext.py
+++ b/rosemarypath/requestcontext.py
@@ -57,8 +57,13 @@
     `priority`
         0 is the most urgent.
     `prepared`
-        The `Send` that takes it over from a silent back end, ``None`` without one; its
-        retry was withdrawn from the budget.
+        The `Send` to a back end that has taken it over from a silent one, ``None``
+        without one.
+    `not_offered_until`
+        Maps the names of back ends that did not take it over to the times until which
+        it is not offered to them again.
+    `rejections`
+        How many back ends have rejected it.
     """
 
     request: object
@@ -86,6 +91,8 @@
     longest_gap: float = 0.0
     priority: int = 5
     prepared: object = None
+    not_offered_until: dict = field(default_factory=dict)
+    rejections: int = 0
 
     @property
     def id(self):
@@ -178,14 +185,29 @@
     """
     One send of a request to a back end.
 
-    `context` is the `RequestContext`, `state` the `BackEndState`, `started` the time at
-    which it began and `connect_seconds` the time that connecting took. `caller` is the
-    connection to the caller, `upstream` that to the back end. `granted_at` is the time
-    on the lease clock at which a send to a back end with a limit was granted, ``None``
-    without a limit. `head` is the `AnswerHead`; `has_first_event` and `is_complete`
-    tell how much of the answer came, `has_lost_connection` whether the connection ended
-    before it was complete. `was_silent` tells whether the back end fell silent,
-    `checks_at` when to look again whether another one can take the request over.
+    Options:
+
+    `context`, `state`
+        The `RequestContext` and the `BackEndState`.
+    `started`, `connect_seconds`
+        Time at which it began, and the seconds that connecting took.
+    `caller`, `upstream`
+        The connections to the caller and to the back end.
+    `head`, `events`
+        The `AnswerHead`, and the `EventSplitter` of the answer.
+    `granted_at`
+        Time on the lease clock at which a send to a back end with a limit was granted,
+        ``None`` without a limit.
+    `has_first_event`, `is_complete`, `has_lost_connection`
+        How much of the answer came, and whether the connection ended before that.
+    `is_begun`, `is_ended`
+        Whether it was counted as running, and as ended.
+    `is_taken`, `first_events`, `body`
+        Whether a back end that was offered the request has answered: with the first
+        events, empty at the end of the stream, or with the whole body.
+    `was_silent`, `checks_at`
+        Whether the back end fell silent, and when to look again whether another one
+        can take the request over.
     """
 
     context: object
@@ -199,5 +221,11 @@
     has_first_event: bool = False
     has_lost_connection: bool = False
     is_complete: bool = False
+    events: object = None
+    is_begun: bool = False
+    is_ended: bool = False
+    is_taken: bool = False
+    first_events: bytes = b""
+    body: bytes = b""
     was_silent: bool = False
     checks_at: float = 0.0
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -6,9 +6,10 @@
 """
 
 import asyncio
+import functools
 
 from rosemarypath.clock import lease_now, now
-from rosemarypath.errors import ConnectError, ResponseError
+from rosemarypath.errors import AnswerTooLargeError, ConnectError, ResponseError
 from rosemarypath.httpclient import encode_request
 from rosemarypath.outcome import NotRun, Unknown
 from rosemarypath.requestcontext import Send
@@ -29,11 +30,13 @@
 REJECTED_WEIGHT = 0.5  # the same for a request that the back end rejected
 REJECTED_RETRY_SECONDS = 0.3  # until a full back end has capacity again
 UNREACHABLE_RETRY_SECONDS = 0.1  # short, as another back end is tried next
+OFFER_PAUSE_SECONDS = 1.0  # until a back end that did not take a request is asked again
 CRASH_CHECK_SECONDS = 0.3  # to find out whether a back end still listens
 MISDIRECTED = 421
 SERVER_ERROR = 500  # and higher statuses
 GRANT_SECONDS = 0.5  # for which a send may use its grant
 LIMITED = "limited"  # the back end takes no more requests from all daemons for now
+SUPERSEDED = "superseded"  # the silent back end went on before another one answered
 WITHDRAWN = "withdrawn"  # the back end stopped accepting the request meanwhile
 
 
@@ -51,9 +54,9 @@
         The `FleetView`.
     `log`, `metrics`
         The `DecisionLog` and the counters.
-    ``await prepare_retry(context)``
-        Returns a `Send` to another back end that can take the request over at once,
-        ``None`` if there is none.
+    ``await prepare_retry(send)``
+        Returns a `Send` to another back end that can take over the request of a silent
+        one at once, ``None`` if there is none.
     ``withdraw_retry(context)``
         Returns whether a retry could be withdrawn from the budget.
     """
@@ -62,7 +65,12 @@
         self, dialect, pool, fleet, log, metrics, prepare_retry, withdraw_retry
     ):
         self._takeover = Takeover(
-            prepare_retry, withdraw_retry, self._may_send, self._discard, log
+            prepare_retry,
+            withdraw_retry,
+            self._may_send,
+            self.offer,
+            self._discard,
+            log,
         )
         self._dialect = dialect
         self._pool = pool
@@ -104,18 +112,12 @@
         return send
 
     async def run(self, send, connection):
-        """Send a prepared request; see `send`."""
-        context, state = send.context, send.state
+        """Send a prepared request, or go on with one that was taken; see `send`."""
+        context = send.context
         send.caller = connection
-        send.started = now()
-        if not self._may_send(send):
+        if not send.is_begun and not self._begin(send):
             return self._fail_withdrawn(send)
-        context.sends += 1
-        context.tried.append(state.name)
-        state.begin_request(context.demand, send.started)
-        if send.granted_at is None:
-            self._fleet.rate_limits.record_send(state.incarnation, send.started)
-        context.end_wait()
+        context.events = send.events
         try:
             outcome = await self._exchange(send)
             if send.has_lost_connection:
@@ -127,10 +129,85 @@
             context.may_have_run = True
             raise
         finally:
-            if not send.is_complete:
-                send.upstream.abort()
-            self._pool.release(send.upstream, now())
-            state.end_request(context.demand, send.has_first_event, now())
+            self._end(send)
+
+    def _begin(self, send):
+        """Count a send as running; return whether it may begin."""
+        context, state = send.context, send.state
+        send.started = now()
+        if not self._may_send(send):
+            return False
+        send.is_begun = True
+        send.events = context.events.resumed()
+        context.sends += 1
+        context.tried.append(state.name)
+        state.begin_request(context.demand, send.started)
+        if send.granted_at is None:
+            self._fleet.rate_limits.record_send(state.incarnation, send.started)
+        context.end_wait()
+        return True
+
+    def _end(self, send):
+        """Release the connection of a send, and count it as ended."""
+        if send.is_ended:
+            return
+        send.is_ended = True
+        if send.is_begun and not send.is_complete:
+            send.upstream.abort()
+        self._pool.release(send.upstream, now())
+        if send.is_begun:
+            had_first_byte = send.has_first_event
+            send.state.end_request(send.context.demand, had_first_byte, now())
+
+    async def offer(self, send):
+        """
+        Send a prepared request whose former back end may still answer.
+
+        Returns whether it was taken: the first event of a stream, or a whole answer
+        that is no error, has come.
+        """
+        context = send.context
+        if not self._begin(send):
+            self._fail_withdrawn(send)
+            return False
+        try:
+            outcome = await self._await_taking(send)
+        except asyncio.CancelledError:
+            context.may_have_run = True
+            self._log_end(send, SUPERSEDED, "")
+            self._end(send)
+            raise
+        send.is_taken = outcome is None
+        context.may_have_run |= not isinstance(outcome, NotRun)
+        if not send.is_taken:
+            self._end(send)
+            context.not_offered_until[send.state.name] = now() + OFFER_PAUSE_SECONDS
+        if send.has_lost_connection:
+            await self._record_crash(send)
+        return send.is_taken
+
+    async def _await_taking(self, send):
+        """Return ``None`` once the back end has taken the request, else a failure."""
+        outcome = await self._read_head(send, self._receive_in_time)
+        if outcome is not None:
+            return outcome
+        is_stream = send.context.route.kind == STREAM
+        if not send.head.is_success or not send.head.is_signed:
+            return self._fail_unknown(send, "broken", str(send.head.status))
+        due = now() + self._first_timeout(send.context, now())
+        try:
+            if is_stream:
+                read = functools.partial(self._read_events, send)
+                send.first_events = await self._receive_in_time(send, read, due)
+            else:
+                read = send.upstream.read_all
+                send.body = await self._receive_in_time(send, read, due)
+        except ResponseError as error:
+            send.has_lost_connection = True
+            return self._fail_unknown(send, "broken", error.message)
+        except TimeoutError:
+            return self._fail_unknown(send, "silent", "not taken over in time")
+        return None
 
     def discard_prepared(self, context):
         """Drop the send that was to take a request over, if it was not used."""
@@ -139,8 +216,8 @@
             context.prepared = None
 
     def _discard(self, send):
-        """Drop a prepared send that is not needed."""
-        self._pool.release(send.upstream, now())
+        """Drop a prepared or taken send that is not needed."""
+        self._end(send)
         send.context.end_wait()
 
     def _may_send(self, send):
@@ -199,6 +276,16 @@
             self._fleet.quarantine.record_begun(suspects, now())
 
     async def _exchange(self, send):
+        if not send.is_taken:
+            outcome = await self._read_head(send, self._receive)
+            if outcome is not None:
+                return outcome
+        if send.context.route.kind == STREAM and send.head.is_success:
+            return await self._answer_stream(send)
+        return await self._answer_whole(send)
+
+    async def _read_head(self, send, receive):
+        """Send the request and read the head of its answer; return any failure."""
         context = send.context
         try:
             send.upstream.send(
@@ -207,7 +294,7 @@
                 lambda reply: self._is_answer(send, reply),
             )
             due = send.started + self._first_timeout(context, send.started)
-            reply = await self._receive(send, send.upstream.head, due)
+            reply = await receive(send, send.upstream.head, due)
         except ResponseError as error:
             send.has_lost_connection = True
             return self._fail_unknown(send, "broken", error.message)
@@ -218,11 +305,13 @@
             self._fleet.record_feedback(
                 send.state, send.head.feedback, send.started, now()
             )
-        if send.head.has_not_run:
-            return self._fail_rejected(send)
-        if context.route.kind == STREAM and send.head.is_success:
-            return await self._answer_stream(send)
-        return await self._answer_whole(send)
+        return self._fail_rejected(send) if send.head.has_not_run else None
+
+    async def _receive_in_time(self, send, receive, due):
+        """Return what ``await receive()`` returns; raises `TimeoutError` at `due`."""
+        at = now()
+        async with asyncio.timeout(min(due - at, send.context.remaining(at))):
+            return await receive()
 
     async def _receive(self, send, receive, due):
         """
@@ -261,7 +350,7 @@
             context.customer.name if context.customer else "",
             context.priority,
             context.remaining(send.started),
-            context.events.last_event_id,
+            send.events.last_event_id,
         )
         return encode_request(request.method, request.path, headers, request.body)
 
@@ -281,7 +370,7 @@
         context, head = send.context, send.head
         try:
             async with asyncio.timeout(context.remaining(now())):
-                body = await send.upstream.read_all()
+                body = send.body if send.is_taken else await send.upstream.read_all()
         except ResponseError as error:
             send.has_lost_connection = True
             return self._fail_unknown(send, "broken", error.message)
@@ -292,7 +381,7 @@
         send.is_complete = True
         if 200 <= head.status < 300 and not head.is_signed:
             return self._fail_unknown(send, "broken", "answer without signature")
-        if head.status >= 500:
+        if head.status >= SERVER_ERROR:
             if context.route.is_idempotent and context.head is None:
                 context.failure = (head, body)
                 return self._fail_unknown(send, "failed", str(head.status))
@@ -309,31 +398,22 @@
 
     async def _answer_stream(self, send):
         """Pass the events of a stream to the caller as they arrive."""
-        context = send.context
-        events = context.events
-        events.drop_partial()
+        events = send.events
         gap_timeout = (
-            EVENT_GAP_TIMEOUT_SECONDS if context.route.can_resume else float("inf")
+            EVENT_GAP_TIMEOUT_SECONDS if send.context.route.can_resume else float("inf")
         )
-        # Bytes that end no event do not put it off.
-        event_due = now() + self._first_timeout(context, now())
+        event_due = now() + self._first_timeout(send.context, now())
+        read = functools.partial(self._read_events, send)
         try:
-            while True:
-                data = await self._receive(send, send.upstream.read, event_due)
-                if not data:
-                    break
-                complete_events = events.feed(data)
-                if events.is_too_long:
-                    return self._fail_unknown(
-                        send, "broken", "event exceeds the size limit"
-                    )
-                if not complete_events:
-                    continue
-                context.record_event(now())
-                if not send.has_first_event:
-                    self._record_first_event(send)
+            complete_events = send.first_events
+            if not send.is_taken:
+                complete_events = await self._receive(send, read, event_due)
+            while complete_events:
+                self._pass_on(send, complete_events)
                 event_due = now() + gap_timeout
-                self._write_stream(send, complete_events)
+                complete_events = await self._receive(send, read, event_due)
+        except AnswerTooLargeError as error:
+            return self._fail_unknown(send, "broken", error.message)
         except ResponseError as error:
             send.has_lost_connection = True
             return self._fail_unknown(send, "broken", error.message)
@@ -352,6 +432,30 @@
         self._log_end(send, "answered", "stream")
         return None
 
+    @staticmethod
+    async def _read_events(send):
+        """
+        Return the next whole events, empty at the end of the stream.
+
+        Bytes that end no event are kept. Raises `ResponseError`.
+        """
+        while data := await send.upstream.read():
+            complete_events = send.events.feed(data)
+            if send.events.is_too_long:
+                raise AnswerTooLargeError(
+                    "event exceeds the size limit", "ask for shorter events"
+                )
+            if complete_events:
+                return complete_events
+        return b""
+
+    def _pass_on(self, send, complete_events):
+        """Write whole events to the caller."""
+        send.context.record_event(now())
+        if not send.has_first_event:
+            self._record_first_event(send)
+        self._write_stream(send, complete_events)
+
     def _record_first_event(self, send):
         """Record the first event, at which the engine has read the prompt."""
         send.has_first_event = True
@@ -404,6 +508,7 @@
     def _fail_rejected(self, send):
         """Record that the back end answered that it did not run the request."""
         context, state, head = send.context, send.state, send.head
+        context.rejections += 1
         self._log_end(send, "rejected", str(head.status))
         if head.is_other_back_end:
             state.record_failure(now(), MISDIRECTED_WEIGHT)
@@ -449,7 +554,7 @@
             request=context.id,
             back_end=send.state.name,
             sends=context.sends,
-            events=context.events.event_count,
+            events=(send.events or context.events).event_count,
             seconds=round(seconds, 4),
             connecting=round(send.connect_seconds, 4),
             first=round((context.first_event_at or now()) - context.request.arrived, 4),
--- a/rosemarypath/sse.py
+++ b/rosemarypath/sse.py
@@ -55,6 +55,12 @@
         """Return whether the buffered event exceeds `MAX_EVENT_BYTES`."""
         return len(self.partial) > MAX_EVENT_BYTES
 
+    def resumed(self):
+        """Return a splitter for the same stream, resumed after its last whole event."""
+        splitter = EventSplitter(self.last_event_id)
+        splitter.event_count = self.event_count
+        return splitter
+
     def drop_partial(self):
         """Drop the buffered partial event, before the stream is resumed."""
         self.partial = b""
