Count versions of the first read as announced long ago

Cause: the time in which an older version may still be used began when the process learned of the newer one, and a process that starts learns all versions at once.

Ruled out: a late read; the versions are known 0.2 s after the start. Asking the other daemons for the time does not help when all were killed.

The first read gives no such time, and the age is measured on the clock that counts suspensions. Readiness waits for the versions.

--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -108,15 +108,20 @@
             )
         return True
 
-    def set_versions(self, versions, now):
-        """Record the newest versions, a dict by model or ``model/adapter``."""
+    def set_versions(self, versions, announced_at):
+        """
+        Record the newest versions, a dict by model or ``model/adapter``.
+
+        They were announced at `announced_at` on the lease clock, which counts the time
+        in which the machine is suspended; minus infinity where that is unknown.
+        """
         for name, version in versions.items():
             known = self._versions.get(name)
             if known is None or known[0] < version:
-                self._versions[name] = (version, now)
+                self._versions[name] = (version, announced_at)
 
     def version_of(self, name):
-        """Return the newest version of ``model/adapter``, and when it was learned."""
+        """Return the newest version of ``model/adapter``, and when it was announced."""
         return self._versions.get(name, UNKNOWN_VERSION)
 
     def newest_version(self, name):
--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -8,7 +8,7 @@
 import asyncio
 
 from rosemarypath.admission import stopping_refusal
-from rosemarypath.clock import now
+from rosemarypath.clock import lease_now, now
 from rosemarypath.enginecontroller import LoadOutcome
 from rosemarypath.outcome import NotRun, Unknown
 from rosemarypath.scheduling.choice import ChoiceFacts, Refusal, choose_back_end
@@ -261,11 +261,11 @@
     def _choose_back_end(self, context, at, excluded=()):
         demand = context.demand
         states = self._fleet.usable_states(context.service, at)
-        version, learned_at = self._fleet.version_of(demand.adapter_key)
+        version, announced_at = self._fleet.version_of(demand.adapter_key)
         facts = ChoiceFacts(
             zone=self._fleet.zone,
             version=version,
-            version_age=at - learned_at,
+            version_age=lease_now() - announced_at,
             version_grace=self._fleet.version_grace,
             excluded=self._excluded_back_ends(context, states).union(excluded),
             load_blocked=self._fleet.load_blocked_engines(states, at)
--- a/rosemarypath/platformsync.py
+++ b/rosemarypath/platformsync.py
@@ -7,7 +7,7 @@
 These objects are written by the operator and by the back ends.
 """
 
-from rosemarypath.clock import now
+from rosemarypath.clock import lease_now, now
 from rosemarypath.faultlog import FaultLog, shortened
 
 __all__ = ["PlatformSync"]
@@ -39,6 +39,7 @@
         self._fleet = fleet
         self._log = log
         self._on_limits = on_limits
+        self._has_read_versions = False
         self._configuration_faults = FaultLog(log, "configuration")
         self._server_faults = FaultLog(log, "servers")
         self._version_faults = FaultLog(log, "versions")
@@ -56,8 +57,9 @@
 
     @property
     def is_complete(self):
-        """Return whether a configuration and the back ends are known."""
-        return self._fleet.table is not None and self._servers.is_known
+        """Return whether a configuration, the back ends and versions are known."""
+        is_read = self._servers.is_known and self._versions.is_known
+        return self._fleet.table is not None and is_read
 
     def _outranks_configuration(self, former, restored):
         """Return whether the operator wrote `former` later than `restored`."""
@@ -152,7 +154,11 @@
             model, adapter, version = decoded
             versions[f"{model}/{adapter}" if adapter else model] = version
         self._version_faults.forget(removed)
-        self._fleet.set_versions(versions, now())
+        # What the first read lists may have been announced long before it.
+        self._fleet.set_versions(
+            versions, lease_now() if self._has_read_versions else float("-inf")
+        )
+        self._has_read_versions = True
         for name, version in versions.items():
             self._log.write("versions", "announced", name=name, version=version)
 
--- a/rosemarypath/scheduling/choice.py
+++ b/rosemarypath/scheduling/choice.py
@@ -154,7 +154,8 @@
     `zone`
         This daemon's zone.
     `version`, `version_age`
-        The newest version of the adapter (0: any) and the seconds since it was learned.
+        The newest version of the adapter (0: any) and the seconds since it was
+        announced.
     `version_grace`
         Seconds from then on in which an older version may still be used.
     `excluded`
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -357,6 +357,48 @@
     play(scenario)
 
 
+def note_versions(engines, runs):
+    """Write the version of the adapter at the start of each run into `runs`."""
+
+    def watch(engine):
+        answer = engine._answer
+
+        async def note(connection, base, attempt_id, headers, model):
+            adapter = headers["x-model"].partition("/")[2]
+            runs[attempt_id] = engine.engine.adapters[adapter]
+            await answer(connection, base, attempt_id, headers, model)
+
+        engine._answer = note
+
+    for engine in engines:
+        watch(engine)
+
+
+@pytest.mark.parametrize("restarted", [1, 2])
+def test_a_restarted_daemon_sends_nothing_to_an_outdated_adapter(restarted):
+    """Review, case 4: it took each version for one that had just been announced."""
+
+    async def scenario(fleet):
+        runs = {}
+        note_versions(fleet.engines, runs)
+        adapters = [f"a{number}" for number in range(4)]
+        for adapter in adapters:
+            await fleet.call(b"/ask/x", daemon=1, method=b"POST", adapter=adapter)
+        for daemon in fleet.daemons[:restarted]:
+            daemon.kill()
+        for adapter in adapters:
+            spec = {"model": MODEL, "adapter": adapter, "version": 2}
+            fleet.store.put("versions", f"{MODEL}.{adapter}", spec)
+        started = [await fleet.add_daemon(s) for s in fleet.settings[:restarted]]
+        await fleet.until(lambda: all(daemon.is_ready for daemon in started))
+        for adapter in adapters:
+            await fleet.call(b"/ask/x", id=adapter, method=b"POST", adapter=adapter)
+        assert {runs.get(adapter, 2) for adapter in adapters} == {2}
+        assert len(runs.keys() & set(adapters)) >= 2
+
+    play(scenario, daemons=2)
+
+
 def test_a_customer_gets_its_rate_and_burst_and_then_a_retry_time():
     async def scenario(fleet):
         fleet.configure(configuration(2, rate=200, burst=400))
--- a/tests/test_platformsync.py
+++ b/tests/test_platformsync.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from rosemarypath.clock import lease_now
 from rosemarypath.mirror import Mirror
 from rosemarypath.platform.dialect import PlatformDialect
 from rosemarypath.platformsync import PlatformSync
@@ -30,6 +31,7 @@
     def __init__(self):
         self.table = None
         self.versions = {}
+        self.announced_at = {}
         self.back_ends = SimpleNamespace(states={}, evacuated_zones=frozenset())
 
     def set_back_end(self, entry, now):
@@ -43,8 +45,9 @@
         self.table = table
         return True
 
-    def set_versions(self, versions, now):
+    def set_versions(self, versions, announced_at):
         self.versions.update(versions)
+        self.announced_at.update(dict.fromkeys(versions, announced_at))
 
 
 class Follower:
@@ -80,6 +83,12 @@
         ]
         self._mirrors[kind].apply(events, self._revision)
 
+    def read(self, kind, **specs):
+        """Read a list of all objects."""
+        self._revision += 1
+        objects = [StoredObject(n, self._revision, spec) for n, spec in specs.items()]
+        self._mirrors[kind].replace(objects, self._revision)
+
     def errors(self, part):
         """Return the names in the lines that tell of errors."""
         return [n for p, event, n in self.lines if (p, event) == (part, "error")]
@@ -135,3 +144,12 @@
 def test_an_evacuation_counts_by_its_name_whatever_it_contains(follower):
     follower.write("evacuations", z1=None, z2={"odd": [[]]})
     assert follower.fleet.back_ends.evacuated_zones == {"z1", "z2"}
+
+
+def test_versions_of_the_first_read_count_as_announced_long_ago(follower):
+    """Review, case 4: a restarted daemon took old versions for current ones."""
+    spec = {"model": "m", "adapter": "a", "version": 2}
+    follower.read("versions", **{"m.a": spec})
+    assert follower.fleet.announced_at == {"m/a": float("-inf")}
+    follower.write("versions", **{"m.b": {**spec, "adapter": "b"}})
+    assert follower.fleet.announced_at["m/b"] == pytest.approx(lease_now(), abs=5.0)
