Let two engines work on one request for 0.3 s only

The offer of a silent stream to a second engine had no bound, while the users' rules (TWICE, model replicas) allow two engines on one request for 400 ms.

An engine that was offered a stream gets 0.3 s to begin its answer. Then its send is ended and the first one kept, or, once that has been silent for 1.8 s, the other way round.

--- a/rosemarypath/requestcontext.py
+++ b/rosemarypath/requestcontext.py
@@ -202,9 +202,12 @@
         How much of the answer came, and whether the connection ended before that.
     `is_begun`, `is_ended`
         Whether it was counted as running, and as ended.
-    `is_taken`, `first_events`, `body`
-        Whether a back end that was offered the request has answered: with the first
-        events, empty at the end of the stream, or with the whole body.
+    `is_sent`, `is_taken`
+        Whether the request was written, and whether a back end that was offered it has
+        taken it over.
+    `first_events`, `body`
+        What such a back end has answered: the first events of a stream, empty at its
+        end, or a whole body; ``None`` where that is still to be read.
     `was_silent`, `checks_at`
         Whether the back end fell silent, and when to look again whether another one
         can take the request over.
@@ -224,8 +227,9 @@
     events: object = None
     is_begun: bool = False
     is_ended: bool = False
+    is_sent: bool = False
     is_taken: bool = False
-    first_events: bytes = b""
-    body: bytes = b""
+    first_events: bytes | None = None
+    body: bytes | None = None
     was_silent: bool = False
     checks_at: float = 0.0
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -30,7 +30,12 @@
 REJECTED_WEIGHT = 0.5  # the same for a request that the back end rejected
 REJECTED_RETRY_SECONDS = 0.3  # until a full back end has capacity again
 UNREACHABLE_RETRY_SECONDS = 0.1  # short, as another back end is tried next
+# A second engine begins to answer within this time, while the first may go on; the
+# users' rules allow both to work on a request for 0.4 s.
+OFFER_SECONDS = 0.3
 OFFER_PAUSE_SECONDS = 1.0  # until a back end that did not take a request is asked again
+UNANSWERED_OFFER_PAUSE_SECONDS = 0.3  # the same if it only did not answer in time
+MAX_SILENCE_SECONDS = 1.8  # longer than a sound engine is silent
 CRASH_CHECK_SECONDS = 0.3  # to find out whether a back end still listens
 MISDIRECTED = 421
 SERVER_ERROR = 500  # and higher statuses
@@ -159,19 +164,21 @@
             had_first_byte = send.has_first_event
             send.state.end_request(send.context.demand, had_first_byte, now())
 
-    async def offer(self, send):
+    async def offer(self, send, former):
         """
-        Send a prepared request whose former back end may still answer.
+        Send a prepared request while the silent `former` send may still be answered.
 
         Returns whether it was taken: the first event of a stream, or a whole answer
-        that is no error, has come.
+        that is no error, has come. No two engines may work on a request for long, so
+        that an engine without an answer is given up soon, or, if the former one has
+        been silent for too long by then, trusted.
         """
         context = send.context
         if not self._begin(send):
             self._fail_withdrawn(send)
             return False
         try:
-            outcome = await self._await_taking(send)
+            outcome = await self._await_taking(send, former)
         except asyncio.CancelledError:
             context.may_have_run = True
             self._log_end(send, SUPERSEDED, "")
@@ -181,32 +188,44 @@
         context.may_have_run |= not isinstance(outcome, NotRun)
         if not send.is_taken:
             self._end(send)
-            context.not_offered_until[send.state.name] = now() + OFFER_PAUSE_SECONDS
         if send.has_lost_connection:
             await self._record_crash(send)
         return send.is_taken
 
-    async def _await_taking(self, send):
+    async def _await_taking(self, send, former):
         """Return ``None`` once the back end has taken the request, else a failure."""
-        outcome = await self._read_head(send, self._receive_in_time)
+        context = send.context
+        is_stream = context.route.kind == STREAM
+        seconds = OFFER_SECONDS if is_stream else self._first_timeout(context, now())
+        try:
+            async with asyncio.timeout(min(seconds, context.remaining(now()))):
+                return await self._read_beginning(send, is_stream)
+        except TimeoutError:
+            silent_since = max(context.last_event_at, former.started)
+            if is_stream and now() - silent_since >= MAX_SILENCE_SECONDS:
+                return None
+            pause = UNANSWERED_OFFER_PAUSE_SECONDS
+            context.not_offered_until[send.state.name] = now() + pause
+            self._log_end(send, "silent", "not taken over in time")
+            return Unknown(504, "silent", "not taken over in time")
+
+    async def _read_beginning(self, send, is_stream):
+        """Read the first event or the whole answer; return a failure or ``None``."""
+        pause_until = now() + OFFER_PAUSE_SECONDS
+        send.context.not_offered_until[send.state.name] = pause_until
+        outcome = await self._read_head(send, _receive_now)
         if outcome is not None:
             return outcome
-        is_stream = send.context.route.kind == STREAM
         if not send.head.is_success or not send.head.is_signed:
             return self._fail_unknown(send, "broken", str(send.head.status))
-        due = now() + self._first_timeout(send.context, now())
         try:
             if is_stream:
-                read = functools.partial(self._read_events, send)
-                send.first_events = await self._receive_in_time(send, read, due)
+                send.first_events = await self._read_events(send)
             else:
-                read = send.upstream.read_all
-                send.body = await self._receive_in_time(send, read, due)
+                send.body = await send.upstream.read_all()
         except ResponseError as error:
             send.has_lost_connection = True
             return self._fail_unknown(send, "broken", error.message)
-        except TimeoutError:
-            return self._fail_unknown(send, "silent", "not taken over in time")
         return None
 
     def discard_prepared(self, context):
@@ -276,7 +295,7 @@
             self._fleet.quarantine.record_begun(suspects, now())
 
     async def _exchange(self, send):
-        if not send.is_taken:
+        if send.head is None:
             outcome = await self._read_head(send, self._receive)
             if outcome is not None:
                 return outcome
@@ -288,11 +307,8 @@
         """Send the request and read the head of its answer; return any failure."""
         context = send.context
         try:
-            send.upstream.send(
-                self._encode_request(send),
-                context.request.method,
-                lambda reply: self._is_answer(send, reply),
-            )
+            if not send.is_sent:
+                self._write_request(send)
             due = send.started + self._first_timeout(context, send.started)
             reply = await receive(send, send.upstream.head, due)
         except ResponseError as error:
@@ -307,11 +323,13 @@
             )
         return self._fail_rejected(send) if send.head.has_not_run else None
 
-    async def _receive_in_time(self, send, receive, due):
-        """Return what ``await receive()`` returns; raises `TimeoutError` at `due`."""
-        at = now()
-        async with asyncio.timeout(min(due - at, send.context.remaining(at))):
-            return await receive()
+    def _write_request(self, send):
+        send.is_sent = True
+        send.upstream.send(
+            self._encode_request(send),
+            send.context.request.method,
+            lambda reply: self._is_answer(send, reply),
+        )
 
     async def _receive(self, send, receive, due):
         """
@@ -370,7 +388,9 @@
         context, head = send.context, send.head
         try:
             async with asyncio.timeout(context.remaining(now())):
-                body = send.body if send.is_taken else await send.upstream.read_all()
+                body = send.body
+                if body is None:
+                    body = await send.upstream.read_all()
         except ResponseError as error:
             send.has_lost_connection = True
             return self._fail_unknown(send, "broken", error.message)
@@ -406,7 +426,7 @@
         read = functools.partial(self._read_events, send)
         try:
             complete_events = send.first_events
-            if not send.is_taken:
+            if complete_events is None:
                 complete_events = await self._receive(send, read, event_due)
             while complete_events:
                 self._pass_on(send, complete_events)
@@ -561,3 +581,8 @@
             gap=round(context.longest_gap, 4),
             detail=message,
         )
+
+
+async def _receive_now(send, receive, due):
+    """Return what ``await receive()`` returns; the time limit is the caller's."""
+    return await receive()
--- a/rosemarypath/takeover.py
+++ b/rosemarypath/takeover.py
@@ -31,9 +31,9 @@
         Returns whether a retry could be withdrawn from the budget.
     ``may_send(send)``
         Returns whether a prepared send is still eligible.
-    ``await offer(send)``
-        Sends a prepared one; returns whether the back end has taken the request. Ends
-        the send if not, or if cancelled.
+    ``await offer(prepared, send)``
+        Sends a prepared one while `send` is silent; returns whether the back end has
+        taken the request. Ends the prepared send if not, or if cancelled.
     ``discard(send)``
         Drops a prepared send.
     `log`
@@ -91,7 +91,7 @@
         if not self._may_send(prepared) or not self._withdraw_retry(send.context):
             self._discard(prepared)
             return None
-        return prepared if await self._offer(prepared) else None
+        return prepared if await self._offer(prepared, send) else None
 
     async def _received(self, context, receiving, trying):
         """Return what came; if nothing more will, wait for the other back end first."""
