Let a broken stream wait for the retry budget

Cause: each machine has its part of the fleet's retry budget, three retries at once there. The fourth stream and the next were cut, though a retry comes every second and callers wait for 2.4 s.

--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -22,6 +22,8 @@
 RESERVED_SENDS = 2  # of these, for requests whose back end fails
 RESEND_PAUSE_SECONDS = 0.02  # before another send, after a rejected one
 RESEND_PAUSE_GROWTH = 3.0  # with each rejection of a stream under way
+RETRY_POLL_SECONDS = 0.1  # between two checks of the retry budget
+RETRY_PATIENCE_SECONDS = 1.8  # since the last event; callers leave after about 2.4 s
 MAX_LOAD_WAIT_SECONDS = 1.5  # several loads from a busy store; then another engine
 MIN_LOAD_WAIT_SECONDS = 0.05  # as long as a load from the engine's own memory takes
 HOLDER_POLL_SECONDS = 0.1  # between two checks whether an engine can load again
@@ -171,7 +173,7 @@
                 return None
             if isinstance(outcome, Unknown):
                 context.may_have_run = True
-            if not self._may_retry(context, outcome):
+            if not await self._await_retry(context, outcome):
                 return self._final_outcome(context, outcome, connection)
             if outcome.code == "rejected":
                 await asyncio.sleep(self._resend_pause(context, now()))
@@ -311,20 +313,35 @@
             seconds=round(now() - started, 4),
         )
 
-    def _may_retry(self, context, outcome):
-        if context.sends >= MAX_SENDS or context.remaining(now()) <= 0.0:
-            return False
-        if isinstance(outcome, Unknown) and not context.route.is_idempotent:
+    async def _await_retry(self, context, outcome):
+        """Return whether to try again, once the retry budget has a retry for it."""
+        if not _is_retryable(context, outcome, now()):
             return False
         # The request never reached a back end, so the retry budget does not apply.
         if isinstance(outcome, NotRun) and outcome.code in NOT_SENT:
             return True
-        if not self._fleet.withdraw_retry(context.service, now()):
-            self._metrics.count("retries.over_budget")
-            return False
+        waits_until = self._retry_patience_end(context)
+        while not self._fleet.withdraw_retry(context.service, now()):
+            if now() >= waits_until:
+                self._metrics.count("retries.over_budget")
+                return False
+            context.enter_stage("retry", "", now())
+            await asyncio.sleep(RETRY_POLL_SECONDS)
         self._metrics.count("retries")
         return True
 
+    @staticmethod
+    def _retry_patience_end(context):
+        """
+        Return until when a request waits for the retry budget.
+
+        A stream under way would be cut else; another request fails at once, as its
+        caller may repeat it.
+        """
+        if context.head is None:
+            return float("-inf")
+        return min(context.deadline, context.last_event_at + RETRY_PATIENCE_SECONDS)
+
     def _no_back_end_outcome(self, context, refusal):
         if context.may_have_run:
             return Unknown(
@@ -350,6 +367,13 @@
         connection.fail(outcome.status, headers)
 
 
+def _is_retryable(context, outcome, now):
+    """Return whether a request may be sent again, as far as it decides itself."""
+    if context.sends >= MAX_SENDS or context.remaining(now) <= 0.0:
+        return False
+    return context.route.is_idempotent or not isinstance(outcome, Unknown)
+
+
 def _blocked_outcome(verdict):
     if verdict.is_request:
         return NotRun(
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -10,6 +10,7 @@
 import pytest
 
 from rosemarypath.clock import now
+from rosemarypath.forwarding import RETRY_PATIENCE_SECONDS
 from standins import replica
 from tests.edgefleet import configuration, running_fleet
 from tests.test_forwarding import WHOLE
@@ -283,3 +284,39 @@
         assert sum(engine.count_runs("s") for engine in fleet.engines) == 1
 
     play(scenario)
+
+
+def test_a_stream_that_breaks_waits_for_the_retry_budget():
+    """Connections of one machine are reset: more streams break than it has retries."""
+
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.faults.slow_events = 0.1
+        view = fleet.daemons[0]._fleet
+        tasks = [asyncio.ensure_future(ask(fleet, id=f"s{n}")) for n in range(8)]
+        await fleet.until(lambda: sum(len(e.running) for e in fleet.engines) == 8)
+        while view.withdraw_retry("oracle", now()):
+            pass
+        for connection in list(fleet.daemons[0]._pool._in_use):
+            if connection.address in {engine.address for engine in fleet.engines}:
+                connection.abort()
+        replies = await asyncio.gather(*tasks, return_exceptions=True)
+        whole = [reply for reply in replies if getattr(reply, "body", b"") == WHOLE]
+        # The budget of this fleet gains 1.7 retries a second.
+        assert len(whole) >= 3
+
+    play(scenario)
+
+
+def test_a_request_that_has_not_begun_to_be_answered_fails_at_once_without_a_retry():
+    async def scenario(fleet):
+        view = fleet.daemons[0]._fleet
+        while view.withdraw_retry("ledger", now()):
+            pass
+        for ledger in fleet.ledgers:
+            ledger.faults.resets = 9
+        started = now()
+        assert (await fleet.call(b"/read/x")).status == 502
+        assert now() - started < RETRY_PATIENCE_SECONDS / 2
+
+    play(scenario)
