Bound the bytes of all answers together, and keep no raised error

What other operators saw: a faulty replica sent bytes without end, and the machine that had called it ran out of memory with all its other requests.

A ByteBudget of an eighth of the memory drops the largest answer, that of the store last. Ruled out as causes: buffers of the kernel, copies while writing.

--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -10,6 +10,7 @@
 import time
 
 from rosemarypath.admission import Admission
+from rosemarypath.bytebudget import ByteBudget
 from rosemarypath.clock import lease_now, now
 from rosemarypath.controllermanager import ControllerManager
 from rosemarypath.decisionlog import FLUSH_INTERVAL_SECONDS, DecisionLog
@@ -39,6 +40,10 @@
 # change has to be in force.
 CONFIGURATION_POLL_SECONDS = 1.0
 POLL_SECONDS = 2.5
+BYTES_PER_MB = 1_000_000
+# Share of the memory for answers that are not passed on yet. Each is copied when it
+# is read whole and when it is written, and the process itself takes a good part.
+ANSWER_MEMORY_SHARE = 0.125
 DIRECTORY_TTL_SECONDS = 1  # how long callers may cache an answer of the directory
 # New requests are accepted for this long after SIGTERM. Requests that callers send 3 s
 # after SIGTERM or later must not be cut, so they are refused and never start.
@@ -70,7 +75,9 @@
         self._stopping = asyncio.Event()
         self._log = log or DecisionLog(settings.machine)
         self._metrics = EdgeMetrics(settings.machine, settings.zone, time.time())
-        self._pool = ConnectionPool()
+        self._pool = ConnectionPool(
+            ByteBudget(settings.memory * BYTES_PER_MB * ANSWER_MEMORY_SHARE)
+        )
         self._store = dialect.store(settings.store_address, self._pool, self._log_era)
         own = Machine(
             name=settings.machine,
--- a/rosemarypath/edgesettings.py
+++ b/rosemarypath/edgesettings.py
@@ -47,6 +47,8 @@
         The longest time for which callers may cache an answer of the directory.
     `bandwidth`
         Mbit/s of the machine's network link; 0 if unknown.
+    `memory`
+        Megabytes that the process may use.
     """
 
     machine: str
@@ -70,6 +72,7 @@
     checks_fences: bool = False
     address_lifetime: float = 5.0
     bandwidth: float = 0.0
+    memory: float = 300.0
 
     def changed_names(self, other):
         """Return the names of the settings that differ from those of `other`."""
--- a/rosemarypath/httpclient.py
+++ b/rosemarypath/httpclient.py
@@ -14,6 +14,7 @@
 
 import httptools
 
+from rosemarypath.bytebudget import ByteBudget
 from rosemarypath.errors import AnswerTooLargeError, ConnectError, ResponseError
 
 __all__ = ["Connection", "ConnectionPool", "Reply", "encode_request"]
@@ -30,7 +31,9 @@
 MAX_IDLE_PER_ADDRESS = 16  # idle connections
 MAX_BODY_BYTES = 16 * 1024 * 1024  # a machine has memory for several such answers
 # Heads, framing and answers to other requests, received between two parts of the body.
-MAX_NON_BODY_BYTES = 1024 * 1024
+MAX_NON_BODY_BYTES = 128 * 1024
+MAX_HEADER_FIELDS = 512  # each costs far more memory than its bytes
+PART_BYTES = 64  # that a part of the body costs beside its content
 MAX_UNREAD_BYTES = 256 * 1024  # of the body; beyond this, reading from the peer pauses
 NO_BODY_STATUSES = frozenset({204, 304})
 
@@ -82,10 +85,13 @@
 
     `address` is ``host:port``. An exchange is a request and its answer: call `send`,
     then `head`, then `read` until it returns ``b""``. `idle_since` is when the
-    connection was last released into a pool.
+    connection was last released into a pool. `budget` is the `ByteBudget` that the
+    bytes of answers count towards; those of a protected connection are dropped last.
     """
 
-    def __init__(self, address):
+    def __init__(self, address, budget=None):
+        self._budget = budget or ByteBudget()
+        self._kept_bytes = 0
         self._transport = None
         self._parser = None
         self._waiter = None
@@ -106,16 +112,17 @@
         self._exchange_count = 0
         self.address = address
         self.idle_since = 0.0
+        self.is_protected = False
 
     @classmethod
-    async def open(cls, address, timeout=CONNECT_TIMEOUT_SECONDS):
+    async def open(cls, address, timeout=CONNECT_TIMEOUT_SECONDS, budget=None):
         """Connect to `address`; raises `ConnectError`."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(
-                    lambda: cls(address), host, int(port)
+                    lambda: cls(address, budget), host, int(port)
                 )
         except (OSError, TimeoutError, ValueError) as error:
             raise ConnectError(
@@ -140,7 +147,7 @@
 
     @property
     def unread_bytes(self):
-        """Return the number of received body bytes that were not read yet."""
+        """Return about how much memory the unread parts of the body take."""
         return self._unread_bytes
 
     @property
@@ -169,6 +176,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._matches = matches
         self._method = method
+        self._kept_bytes = 0
         self._clear_body_parts()
         self._non_body_bytes = 0
         self._head = None
@@ -184,7 +192,7 @@
         """Wait for the answer's head: a `Reply` without body, or a `ResponseError`."""
         while self._head is None:
             if self._error is not None:
-                raise self._error
+                raise self._new_error()
             await self._wait()
         return self._head
 
@@ -198,7 +206,7 @@
             if self._is_complete:
                 return b""
             if self._error is not None:
-                raise self._error
+                raise self._new_error()
             await self._wait()
         data = b"".join(self._body_parts)
         self._clear_body_parts()
@@ -216,6 +224,7 @@
         while data := await self.read():
             parts.append(data)
             size += len(data)
+            self.keep(size)
             if size > max_bytes:
                 self.abort()
                 raise AnswerTooLargeError(
@@ -224,6 +233,30 @@
                 )
         return b"".join(parts)
 
+    def keep(self, count):
+        """Count `count` bytes that were read as held until the exchange has ended."""
+        self._kept_bytes = count
+        self._count_bytes()
+
+    def release_bytes(self):
+        """Count no bytes any more, as the exchange has ended."""
+        self._kept_bytes = 0
+        self._clear_body_parts()
+
+    def reject_answer(self, message):
+        """Drop the connection, as its answer takes too much memory."""
+        self._cannot_be_reused = True
+        if self._error is None:
+            self._error = AnswerTooLargeError(
+                f"{self.address}: {message}", "ask for less"
+            )
+        # What is left of the body must not look like all of it.
+        self._is_complete = False
+        self._body_parts.clear()
+        self._unread_bytes = 0
+        self.abort()
+        self._wake()
+
     def abort(self):
         """Drop the connection at once."""
         if self._transport is not None:
@@ -249,6 +282,7 @@
                 self._fail(f"answer is not valid HTTP ({error!r})")
             self.abort()
         self._enforce_limits()
+        self._count_bytes()
         self._wake()
 
     def eof_received(self):
@@ -272,7 +306,12 @@
         self._headers = []
 
     def on_header(self, name, value):
-        self._headers.append((name.lower(), value))
+        if len(self._headers) < MAX_HEADER_FIELDS:
+            self._headers.append((name.lower(), value))
+        elif not self._is_complete:
+            self._cannot_be_reused = True
+            self._fail(f"received over {MAX_HEADER_FIELDS} header fields")
+            self.abort()
 
     def on_headers_complete(self):
         if self._is_complete:
@@ -297,7 +336,7 @@
     def on_body(self, data):
         if not self._is_discarding and not self._is_complete:
             self._body_parts.append(data)
-            self._unread_bytes += len(data)
+            self._unread_bytes += len(data) + PART_BYTES
             self._non_body_bytes = 0
 
     def on_message_complete(self):
@@ -317,9 +356,13 @@
         elif self._unread_bytes > MAX_UNREAD_BYTES and self.is_open:
             self._transport.pause_reading()
 
+    def _count_bytes(self):
+        self._budget.set_held(self, self._unread_bytes + self._kept_bytes)
+
     def _clear_body_parts(self):
         self._body_parts.clear()
         self._unread_bytes = 0
+        self._count_bytes()
         if self.is_open:
             self._transport.resume_reading()
 
@@ -335,6 +378,14 @@
     def _response_error(self, message):
         return ResponseError(f"{self.address}: {message}", "try another back end")
 
+    def _new_error(self):
+        """
+        Return the error of the exchange, to raise it.
+
+        One that is kept would keep the frames that it has passed, with their data.
+        """
+        return type(self._error)(self._error.message, self._error.remedy)
+
     def _fail(self, message):
         if self._error is None:
             self._error = self._response_error(message)
@@ -355,10 +406,12 @@
     """
     Pool of connections by address; of the idle ones, the last released is reused first.
 
-    Times (`now`) are in seconds of any one monotonic clock.
+    Times (`now`) are in seconds of any one monotonic clock. `budget` is the
+    `ByteBudget` of all connections together.
     """
 
-    def __init__(self):
+    def __init__(self, budget=None):
+        self._budget = budget or ByteBudget()
         self._idle = defaultdict(list)
         self._in_use = set()
 
@@ -372,13 +425,14 @@
         """
         connection = None if is_new else self._take_idle(address, now)
         if connection is None:
-            connection = await Connection.open(address, timeout)
+            connection = await Connection.open(address, timeout, self._budget)
         self._in_use.add(connection)
         return connection
 
     def release(self, connection, now):
         """Keep `connection` for the next exchange if it is reusable, else drop it."""
         self._in_use.discard(connection)
+        connection.release_bytes()
         idle = self._idle[connection.address]
         if connection.is_reusable and len(idle) < MAX_IDLE_PER_ADDRESS:
             connection.idle_since = now
@@ -427,17 +481,20 @@
         timeout,
         now,
         max_bytes=MAX_BODY_BYTES,
+        is_protected=False,
     ):
         """
         Send one request and return the complete `Reply`.
 
         Raises `ConnectError` if nothing was sent, `ResponseError` if the answer is
         missing, late (after `timeout` seconds) or cut short, and `AnswerTooLargeError`
-        if its body is larger than `max_bytes`.
+        if its body is larger than `max_bytes`. Where all answers together take too much
+        memory, those of protected calls are dropped last.
         """
         connection = await self.acquire(
             address, now, timeout=min(timeout, CONNECT_TIMEOUT_SECONDS)
         )
+        connection.is_protected = is_protected
         data = encode_request(method, path, headers, body)
         try:
             async with asyncio.timeout(timeout):
--- a/rosemarypath/platform/settings.py
+++ b/rosemarypath/platform/settings.py
@@ -19,6 +19,8 @@
 __all__ = ["SETTINGS_VARIABLE", "read_settings"]
 
 SETTINGS_VARIABLE = "ROSEMARYPATH_CONFIG"
+DEFAULT_MEMORY_MB = 300.0
+MAX_MB = 1e9
 MS_PER_SECOND = 1000.0
 MAX_MBPS = 1e9
 DECODING_ERRORS = (KeyError, TypeError, ValueError, IndexError, AttributeError)
@@ -92,6 +94,7 @@
         checks_fences=bool(bounds.get("requireFence", False)),
         address_lifetime=require_number(bounds.get("ttl_max_s", 5)),
         bandwidth=require_number(limits.get("bandwidthMbps") or 0.0, MAX_MBPS),
+        memory=require_number(limits.get("memoryMb") or DEFAULT_MEMORY_MB, MAX_MB),
     )
 
 
--- a/rosemarypath/platform/store.py
+++ b/rosemarypath/platform/store.py
@@ -251,7 +251,14 @@
         headers = self._host + JSON_HEADERS if body else self._host
         try:
             reply = await self._pool.call(
-                self._address, method, target, headers, body, timeout, time.monotonic()
+                self._address,
+                method,
+                target,
+                headers,
+                body,
+                timeout,
+                time.monotonic(),
+                is_protected=True,
             )
         except AnswerTooLargeError as error:
             # Repeating the watch would return the same events; a list comes in pages.
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -461,6 +461,7 @@
         """
         while data := await send.upstream.read():
             complete_events = send.events.feed(data)
+            send.upstream.keep(len(send.events.partial))
             if send.events.is_too_long:
                 raise AnswerTooLargeError(
                     "event exceeds the size limit", "ask for shorter events"
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -9,12 +9,14 @@
 import asyncio
 import socket
 import struct
+from pathlib import Path
 
 import pytest
 from hypothesis import given, settings, strategies as st
 
 from bench.ports import free_ports
-from rosemarypath.errors import ConnectError, ResponseError
+from rosemarypath.bytebudget import ByteBudget
+from rosemarypath.errors import AnswerTooLargeError, ConnectError, ResponseError
 from rosemarypath.httpclient import (
     MAX_NON_BODY_BYTES,
     MAX_UNREAD_BYTES,
@@ -25,6 +27,9 @@
 
 GET = encode_request(b"GET", b"/", [(b"Host", b"h")])
 GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+BURST = 60  # endless answers at once
+BURST_BUDGET_BYTES = 37_500_000  # of a process that may use 300 MB
+MAX_GROWTH_MIB = 150.0  # half of that
 CHUNKED = (
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
@@ -271,3 +276,87 @@
         await connection.read_all(MAX_BODY)
 
     asyncio.run(flooded_call(*FLOODS["body"], read_late))
+
+
+def resident_mib():
+    """Return the memory of this process in MiB."""
+    for line in Path("/proc/self/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    raise LookupError("VmRSS")
+
+
+async def peak_growth(tasks):
+    """Return by how many MiB this process grows at most until the tasks are done."""
+    before = peak = resident_mib()
+    while not all(task.done() for task in tasks):
+        await asyncio.sleep(0.01)
+        peak = max(peak, resident_mib())
+    return peak - before
+
+
+@pytest.mark.parametrize("head", FLOODS)
+def test_many_endless_answers_at_once_leave_memory_for_sound_ones(head):
+    """Faulty replicas in a burst: the bound of each answer did not bound their sum."""
+    start, piece = FLOODS[head]
+
+    async def serve(reader, writer):
+        request = await reader.readuntil(b"\r\n\r\n")
+        if request.startswith(b"GET /sound"):
+            await asyncio.sleep(0.3)
+            writer.write(GOOD)
+            writer.close()
+            return
+        try:
+            writer.write(start)
+            while True:
+                writer.write(piece)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+    async def run():
+        port = free_ports(1)[0]
+        server = await asyncio.start_server(serve, "127.0.0.1", port)
+        pool = ConnectionPool(ByteBudget(BURST_BUDGET_BYTES))
+
+        async def call(path):
+            address = f"127.0.0.1:{port}"
+            return await pool.call(address, b"GET", path, [], b"", 4.0, 0.0)
+
+        paths = [b"/endless"] * BURST + [b"/sound"] * 5
+        tasks = [asyncio.ensure_future(call(path)) for path in paths]
+        growth = await peak_growth(tasks)
+        results = await asyncio.gather(*tasks, return_exceptions=True)
+        pool.close()
+        server.close()
+        assert all(isinstance(one, ResponseError) for one in results[:BURST])
+        assert [one.body for one in results[BURST:]] == [b"hello"] * 5
+        assert growth < MAX_GROWTH_MIB
+
+    asyncio.run(run())
+
+
+def test_a_dropped_answer_never_looks_complete():
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        body = b"x" * 100_000
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + body)
+
+    async def run():
+        port = free_ports(1)[0]
+        server = await asyncio.start_server(serve, "127.0.0.1", port)
+        connection = await Connection.open(f"127.0.0.1:{port}")
+        connection.send(GET)
+        await connection.head()
+        while connection.unread_bytes < 100_000:
+            await asyncio.sleep(0.01)
+        connection.reject_answer("too large")
+        with pytest.raises(AnswerTooLargeError):
+            await connection.read_all()
+        assert not connection.is_reusable
+        server.close()
+
+    asyncio.run(run())
