--- a/rosemarypath/fleet.py
+++ b/rosemarypath/fleet.py
@@ -69,13 +69,16 @@
         self._cold_rights = ColdRights(peers.own.name)
         self.leases = leases
         self.controllers = {}
+        self._retries = RetryBuckets(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window
+        )
         self.apply_settings(settings)
 
     def apply_settings(self, settings):
         """Apply the limits of the `EdgeSettings`."""
         self._cold_factor = settings.cold_factor
         self.version_grace = max(0.0, settings.version_bound - VERSION_MARGIN_SECONDS)
-        self._retries = RetryBuckets(
+        self._retries.set_limit(
             settings.retry_ratio, settings.retry_slack, settings.retry_window
         )
         self.leases.lease_seconds = settings.lease
--- a/rosemarypath/tokenbuckets.py
+++ b/rosemarypath/tokenbuckets.py
@@ -201,10 +201,14 @@
     """
 
     def __init__(self, ratio, slack, window):
+        self._buckets = {}
+        self.set_limit(ratio, slack, window)
+
+    def set_limit(self, ratio, slack, window):
+        """Change the limit; what was used up stays so."""
         self._ratio = ratio * RETRY_MARGIN
         self._slack = slack * RETRY_MARGIN
         self._window = window
-        self._buckets = {}
 
     def deposit(self, service):
         """Deposit the share of one request for `service`."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -113,6 +113,18 @@
     assert few < many / 4
 
 
+def test_settings_that_are_read_again_do_not_fill_the_retry_budget(view):
+    """Review, day "reloads": each SIGHUP filled it, and BUDGET was broken."""
+    fleet = view(Mesh([]))
+    settings = EdgeSettings("own", "z", "r", "a", "b", "c", "d", "e")
+    fleet.apply_settings(settings)
+    while fleet.withdraw_retry("s", 0.0):
+        pass
+    for slack in (settings.retry_slack, 2 * settings.retry_slack):
+        fleet.apply_settings(dataclasses.replace(settings, retry_slack=slack))
+        assert not fleet.withdraw_retry("s", 0.0)
+
+
 def test_an_old_version_is_used_for_as_long_as_the_bound_allows(view):
     fleet = view(Mesh([]))
     settings = EdgeSettings("own", "z", "r", "a", "b", "c", "d", "e")
