--- a/tests/test_platformstore.py
+++ b/tests/test_platformstore.py
@@ -26,7 +26,7 @@
         self._answers = list(answers)
         self.paths = []
 
-    async def call(self, address, method, path, *arguments):
+    async def call(self, address, method, path, *arguments, **options):
         self.paths.append(path.decode())
         era, document = self._answers.pop(0)
         headers = () if era is None else ((b"store-era", era),)
