Free a request with its answer

Cause: the connection, the frame of its task and their cycles kept the last request until a full garbage collection, and a pooled connection to a back end kept it, too. Ruled out: bodies under way; at most 32 MB were.

--- a/rosemarypath/httpclient.py
+++ b/rosemarypath/httpclient.py
@@ -17,7 +17,7 @@
 from rosemarypath.bytebudget import ByteBudget
 from rosemarypath.errors import AnswerTooLargeError, ConnectError, ResponseError
 
-__all__ = ["Connection", "ConnectionPool", "Reply", "encode_request"]
+__all__ = ["Connection", "ConnectionPool", "Reply", "encode_head", "encode_request"]
 
 CONNECT_TIMEOUT_SECONDS = 1.0  # callers wait as long for a new connection
 KEEPALIVE_IDLE_SECONDS = 1  # without traffic before the kernel probes the peer
@@ -33,6 +33,7 @@
 # Heads, framing and answers to other requests, received between two parts of the body.
 MAX_NON_BODY_BYTES = 128 * 1024
 MAX_HEADER_FIELDS = 512  # each costs far more memory than its bytes
+MAX_JOINED_BODY_BYTES = 64 * 1024  # a larger body is not copied to its head
 PART_BYTES = 64  # that a part of the body costs beside its content
 MAX_UNREAD_BYTES = 256 * 1024  # of the body; beyond this, reading from the peer pauses
 NO_BODY_STATUSES = frozenset({204, 304})
@@ -55,14 +56,21 @@
     """
     Return the bytes of one request; `headers` are pairs of bytes.
 
+    `encode_head` leaves the body out.
+
     >>> encode_request(b"GET", b"/", [(b"Host", b"a")])
     b'GET / HTTP/1.1\\r\\nHost: a\\r\\n\\r\\n'
     """
+    return encode_head(method, path, headers, len(body)) + body
+
+
+def encode_head(method, path, headers, body_length):
+    """Return the head of a request, whose body follows; see `encode_request`."""
     lines = [b"%b %b HTTP/1.1" % (method, path)]
     lines += [b"%b: %b" % pair for pair in headers]
-    if body or method in (b"POST", b"PUT", b"PATCH"):
-        lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    if body_length or method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d" % body_length)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
 def configure_socket(transport):
@@ -165,9 +173,9 @@
         """Return whether the server can be expected to keep the connection at `now`."""
         return self.is_open and now - self.idle_since < self._idle_limit
 
-    def send(self, data, method=b"GET", matches=None):
+    def send(self, data, method=b"GET", matches=None, body=b""):
         """
-        Start an exchange by writing `data`, one complete request.
+        Start an exchange by writing `data` and then `body`, one complete request.
 
         ``matches(head)`` is called with the head of each final answer and returns
         whether the answer belongs to this exchange; other answers are read and
@@ -186,7 +194,11 @@
         self._is_framed = False
         if not self.is_open:
             raise self._response_error("connection closed before the request was sent")
+        if len(body) <= MAX_JOINED_BODY_BYTES:
+            self._transport.write(data + body if body else data)
+            return
         self._transport.write(data)
+        self._transport.write(body)
 
     async def head(self):
         """Wait for the answer's head: a `Reply` without body, or a `ResponseError`."""
@@ -239,8 +251,10 @@
         self._count_bytes()
 
     def release_bytes(self):
-        """Count no bytes any more, as the exchange has ended."""
+        """Count and keep nothing of the exchange any more, as it has ended."""
         self._kept_bytes = 0
+        self._in_exchange = False
+        self._matches = self._parser = None
         self._clear_body_parts()
 
     def reject_answer(self, message):
--- a/rosemarypath/listener.py
+++ b/rosemarypath/listener.py
@@ -133,6 +133,11 @@
         self._listener.connections.discard(self)
         self._cancel_timer()
         self._task.cancel()
+        # The parser and the task refer to this object, which would keep the requests
+        # until a full garbage collection.
+        self._task = self._parser = self._request = None
+        self._body_parts = []
+        self._requests.clear()
 
     # Called by the parser.
 
@@ -290,24 +295,35 @@
             while not self._requests:
                 self._has_requests.clear()
                 await self._has_requests.wait()
-            request = self._requests.popleft()
-            if len(self._requests) == MAX_PIPELINED_REQUESTS:
-                self._transport.resume_reading()
-            self._current_request = request
-            self.is_busy = True
-            self.has_answered = self._is_answered = False
-            await self._handle(request)
-            self.is_busy = False
-            if not request.keep_alive or request.status:
-                await self._close_after_answer(request)
-                return
-            if self._requests:
-                continue
-            if self._request is None and self._listener.is_stopping:
-                self.close()
+            if not await self._serve_next():
                 return
-            is_in_head = self._request is not None and self._header_bytes >= 0
-            self._set_timer(HEADER if is_in_head else IDLE)
+
+    async def _serve_next(self):
+        """
+        Answer the next request; return whether the connection goes on.
+
+        The request is let go of at the end, as the next one may be long in coming.
+        """
+        request = self._requests.popleft()
+        if len(self._requests) == MAX_PIPELINED_REQUESTS:
+            self._transport.resume_reading()
+        self._current_request = request
+        self.is_busy = True
+        self.has_answered = self._is_answered = False
+        await self._handle(request)
+        self.is_busy = False
+        self._current_request = None
+        if not request.keep_alive or request.status:
+            await self._close_after_answer(request)
+            return False
+        if self._requests:
+            return True
+        if self._request is None and self._listener.is_stopping:
+            self.close()
+            return False
+        is_in_head = self._request is not None and self._header_bytes >= 0
+        self._set_timer(HEADER if is_in_head else IDLE)
+        return True
 
     async def _handle(self, request):
         try:
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -10,7 +10,7 @@
 
 from rosemarypath.clock import lease_now, now
 from rosemarypath.errors import AnswerTooLargeError, ConnectError, ResponseError
-from rosemarypath.httpclient import encode_request
+from rosemarypath.httpclient import encode_head
 from rosemarypath.outcome import NotRun, Unknown
 from rosemarypath.requestcontext import Send
 from rosemarypath.routing import STREAM
@@ -326,9 +326,10 @@
     def _write_request(self, send):
         send.is_sent = True
         send.upstream.send(
-            self._encode_request(send),
+            self._encode_head(send),
             send.context.request.method,
             lambda reply: self._is_answer(send, reply),
+            send.context.request.body,
         )
 
     async def _receive(self, send, receive, due):
@@ -358,7 +359,7 @@
             return min(left, FIRST_EVENT_TIMEOUT_SECONDS)
         return min(left, max(MIN_ANSWER_TIMEOUT_SECONDS, left * ANSWER_TIMEOUT_SHARE))
 
-    def _encode_request(self, send):
+    def _encode_head(self, send):
         context = send.context
         request = context.request
         headers = self._dialect.forwarded_headers(
@@ -370,7 +371,8 @@
             context.remaining(send.started),
             send.events.last_event_id,
         )
-        return encode_request(request.method, request.path, headers, request.body)
+        length = len(request.body)
+        return encode_head(request.method, request.path, headers, length)
 
     def _is_answer(self, send, reply):
         """Return whether a reply belongs to the request, not to an earlier one."""
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -6,10 +6,13 @@
 """
 
 import asyncio
+import gc
+import weakref
 
 import pytest
 
 from bench.ports import free_ports
+from rosemarypath.httpclient import Connection, encode_request
 from rosemarypath.listener import Listener
 from rosemarypath.routing import IngressLimits
 
@@ -295,3 +298,35 @@
     first = b"GET /0 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
     received = stopping_answers(first + PIPELINED[1])
     assert received.endswith(b"end of /0") and received.count(b"HTTP/1.1 ") == 1
+
+
+@pytest.mark.parametrize("ending", ["closes", "keeps"])
+def test_a_request_that_was_answered_is_freed_without_a_garbage_collection(ending):
+    """Review, case 3: bodies of ended connections filled the memory."""
+    kept = []
+
+    async def handle(request, connection):
+        kept.append(weakref.ref(request))
+        connection.answer(200, [])
+
+    async def run():
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        listener = Listener(address, handle, IngressLimits())
+        await listener.start()
+        try:
+            connection = await Connection.open(address)
+            connection.send(encode_request(b"POST", b"/", [(b"Host", b"h")], b"x" * 99))
+            await connection.head()
+            if ending == "closes":
+                connection.abort()
+            await asyncio.sleep(0.1)
+            assert kept[0]() is None
+            connection.abort()
+        finally:
+            listener.close()
+
+    gc.disable()
+    try:
+        asyncio.run(run())
+    finally:
+        gc.enable()
