--- a/rosemarypath/frames.py
+++ b/rosemarypath/frames.py
@@ -15,9 +15,7 @@
 __all__ = ["NOT_TOLD", "Batch", "Frame", "RawBatch", "decode_readable"]
 
 NOT_TOLD = -1
-MESSAGE_TYPES = tuple(messages.Message.__subclasses__())
-
-Body = functools.reduce(operator.or_, MESSAGE_TYPES)
+Body = functools.reduce(operator.or_, messages.Message.__subclasses__())
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -161,8 +161,8 @@
             send.upstream.abort()
         self._pool.release(send.upstream, now())
         if send.is_begun:
-            had_first_byte = send.has_first_event
-            send.state.end_request(send.context.demand, had_first_byte, now())
+            demand = send.context.demand
+            send.state.end_request(demand, send.has_first_event, now())
 
     async def offer(self, send, former):
         """
