Give each tenure of an engine's lease its own wait

Cause: the time from which an earlier tenure was usable was dropped only after an answer.

The time belongs to the fencing token of the tenure. test_a_lease_taken_over_is_waited_for_though_the_answer_was_lost failed before.

--- a/rosemarypath/engineleases.py
+++ b/rosemarypath/engineleases.py
@@ -118,16 +118,21 @@
         if lease is None or lease.machine != self._machine:
             return 0
         if lease.previous:
-            usable_from = self._usable_from.setdefault(
-                engine, lease_now + self.lease_seconds + LEASE_MARGIN_SECONDS
-            )
-            if lease_now < usable_from:
+            if lease_now < self._usable_from_time(engine, lease, lease_now):
                 return 0
         if not self._is_confirmed(lease_now):
             return 0
         self._proven_at[engine] = lease_now
         return lease.fencing_token
 
+    def _usable_from_time(self, engine, lease, lease_now):
+        """Return when a lease taken over becomes usable; each tenure has its wait."""
+        token, usable_from = self._usable_from.get(engine, (0, 0.0))
+        if token != lease.fencing_token:
+            usable_from = lease_now + self.lease_seconds + LEASE_MARGIN_SECONDS
+            self._usable_from[engine] = lease.fencing_token, usable_from
+        return usable_from
+
     async def confirm(self, lease_now):
         """Prove the leases current, if needed by other daemons or the store."""
         if self._is_confirmed(lease_now):
@@ -225,7 +230,6 @@
         if era_of(stored.version) != spec["era"]:
             # It was written in an era that this daemon has not read yet.
             return False
-        self._usable_from.pop(engine, None)
         self._mirror.record_own_write(stored)
         return True
 
--- a/tests/test_engineleases.py
+++ b/tests/test_engineleases.py
@@ -338,3 +338,29 @@
         asyncio.run(run())
         assert node.leases.find("engine").machine == "a", spec
         assert node.leases.fencing_token("engine", 30.0) >= 0
+
+
+def test_a_lease_taken_over_is_waited_for_though_the_answer_was_lost():
+    """Review: a wait of an earlier tenure let the new holder order at once."""
+    store = MemoryStore()
+    node = Node("a", ["a", "b"], store, 0.0)
+
+    def give_to(name, before, now):
+        spec = {"machine": name, "before": before, "era": 1}
+        store.for_machine(name)._put("engine", spec)
+        node.mirror.replace(list(store.objects.values()), store.revision)
+        return node.leases.fencing_token("engine", now)
+
+    async def run():
+        await node.leases.confirm(0.0)
+        assert give_to("a", "b", 0.0) == 0
+        await node.leases.confirm(20.0)
+        assert node.leases.fencing_token("engine", 20.0)
+        assert give_to("b", "", 21.0) == 0
+        # The daemon's own write, whose answer was lost, is read from the store.
+        await node.leases.confirm(40.0)
+        assert give_to("a", "b", 40.0) == 0
+        await node.leases.confirm(40.0 + LEASE)
+        assert node.leases.fencing_token("engine", 40.0 + LEASE) == 0
+
+    asyncio.run(run())
