--- a/rosemarypath/scheduling/choice.py
+++ b/rosemarypath/scheduling/choice.py
@@ -249,7 +249,7 @@
 
 def _cost(state, demand, facts, now):
     running, tokens, rate = state.total_load(now)
-    capacity = state.back_end.capacity
+    capacity = max(1, state.back_end.capacity)  # an entry may name no slots
     cost = running * RUNNING_SECONDS
     cost += max(0, running - capacity) * QUEUE_SECONDS
     cost += state.failures(now) * FAILURE_SECONDS
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -292,3 +292,11 @@
     assert all(0.5 < refusal.retry_after < 5.0 for refusal in refusals)
     states[1].set_loaded_models((LoadedModel("m", 1, {"a": 1}),))
     assert choose_back_end(states, demand("a"), facts, 0.0).state is states[1]
+
+
+def test_a_back_end_without_slots_does_not_end_the_choice():
+    """Review: an entry with no slots made each request of its service fail."""
+    states = [plain("a", capacity=0), plain("b")]
+    for state in states:
+        state.begin_request(Demand("r", 10.0), 0.0)
+    assert choose_back_end(states, Demand("r", 10.0), FACTS, 0.0).state.name == "b"
