Use an adapter again whose unload met a lapsed lease

Review, read only: it stayed marked as unloading, so that the choice never saw it as loaded. test_an_adapter_whose_unload_met_a_lapsed_lease_is_used_again failed before: the controller had it loaded, the choice's record lacked it.

--- a/rosemarypath/enginecontroller.py
+++ b/rosemarypath/enginecontroller.py
@@ -445,12 +445,20 @@
         self._adapters.unloading.add(name)
         self._publish_state()
         back_end = self.state.back_end
-        result = await self._send_until_answered(
-            "unload",
-            name,
-            fence,
-            lambda count: self._client.unload(back_end, model, adapter, fence, count),
-        )
+        try:
+            result = await self._send_until_answered(
+                "unload",
+                name,
+                fence,
+                lambda count: self._client.unload(
+                    back_end, model, adapter, fence, count
+                ),
+            )
+        except RosemarypathError:
+            # The order was not sent again, so a report has to tell what became of it.
+            self._adapters.unloading.discard(name)
+            self._order_count = None
+            raise
         if result.is_already_done:
             self._adapters.unloading.discard(name)
             self._adapters.loaded.pop(name, None)
--- a/tests/test_enginecontroller.py
+++ b/tests/test_enginecontroller.py
@@ -428,3 +428,27 @@
 
     assert run_with(engine, scenario).is_loaded
     assert engine.held == {"a": 1, "b": 1, "c": 2}
+
+
+def test_an_adapter_whose_unload_met_a_lapsed_lease_is_used_again():
+    """Review: it stayed marked as unloading, and requests waited for it in vain."""
+    engine = MemoryEngine(lost_share=1.0)
+    engine.held = {"a": 1, "b": 1, "c": 1}
+    leases = AlwaysLeased()
+
+    async def scenario(controller):
+        assert (await controller.ensure_loaded("m", "a", 1.0)).is_loaded
+        waiting = asyncio.create_task(controller.ensure_loaded("m", "d", 1.0))
+        while not controller._adapters.unloading:
+            await asyncio.sleep(0.001)
+        [name] = controller._adapters.unloading
+        leases.has_lapsed = True
+        await waiting
+        leases.has_lapsed = False
+        engine.lose(0.0)
+        adapter = name.partition("/")[2]
+        engine.held.setdefault(adapter, 1)
+        outcome = await controller.ensure_loaded("m", adapter, 2.0)
+        return outcome.is_loaded and name in controller.state.adapters
+
+    assert run_with(engine, scenario, leases)
