Send a whole answer of over 1 MiB to a slow reader

Only what is added to over 1 MiB of unsent bytes does so now. test_a_slow_reader_gets_a_whole_large_answer failed before: connection lost.

--- a/rosemarypath/listener.py
+++ b/rosemarypath/listener.py
@@ -222,8 +222,10 @@
             data = self._unsent_head + data
             self._unsent_head = b""
         self.has_answered = True
+        # A whole answer may be larger; only what is added to too much drops the caller.
+        is_behind = self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES
         self._transport.write(data)
-        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+        if is_behind:
             self.abort()
 
     def end(self):
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -330,3 +330,27 @@
         asyncio.run(run())
     finally:
         gc.enable()
+
+
+def test_a_slow_reader_gets_a_whole_large_answer():
+    """Review: an answer of over 1 MiB that was not sent at once dropped its caller."""
+    body = b"x" * 8_000_000
+
+    async def handle(request, connection):
+        connection.answer(200, [], body)
+
+    async def run():
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        listener = Listener(address, handle, IngressLimits())
+        await listener.start()
+        connection = await Connection.open(address)
+        try:
+            connection.send(encode_request(b"GET", b"/", [(b"Host", b"h")]))
+            await connection.head()
+            await asyncio.sleep(0.3)
+            assert await connection.read_all() == body
+        finally:
+            connection.abort()
+            listener.close()
+
+    asyncio.run(run())
