Try a suspected prompt part again soon, as no answer may be able to clear it

Cause: both engines were down before an answer had ended, so that the part which all requests share was in as many crashes as the deadly one, and was refused for 60 s. As nothing ran, nothing could clear it.

A part is refused for 2 s at first, doubled with each crash, in the collection of crashes at any stage. After that answers end and clear the shared part; the next crash blocks the deadly one only. Whole requests stay refused for 60 s.

--- a/rosemarypath/scheduling/quarantine.py
+++ b/rosemarypath/scheduling/quarantine.py
@@ -61,8 +61,8 @@
     `crash_gap`
         Seconds; crashes under a part that are closer together count as one, as back
         ends may fail together.
-    `block_seconds`
-        For how long a suspect is blocked first.
+    `part_block_seconds`, `request_block_seconds`
+        For how long a part and a whole request are blocked first.
     `max_news`
         Suspects with new evidence to report at once.
     """
@@ -70,7 +70,8 @@
     part_crashes: int = BLOCKING_CRASHES
     request_crashes: int = BLOCKING_REQUEST_CRASHES
     crash_gap: float = 0.0
-    block_seconds: float = BLOCK_SECONDS
+    part_block_seconds: float = BLOCK_SECONDS
+    request_block_seconds: float = BLOCK_SECONDS
     max_news: int = MAX_REPORTED_NEWS
 
 
@@ -351,11 +352,14 @@
         if is_part and self._current_ranking().is_explained_by_request(suspect):
             is_certain = count >= self._rules.request_crashes
             return 0.0 if is_certain else UNCERTAIN_BLOCK_SECONDS
-        return self._growing_block_seconds(count - needed)
+        return self._growing_block_seconds(suspect, count - needed)
 
-    def _growing_block_seconds(self, extra_crashes):
+    def _growing_block_seconds(self, suspect, extra_crashes):
         """Return for how long a suspect is blocked, doubled with each further crash."""
-        return self._rules.block_seconds * 2 ** min(extra_crashes, 10)
+        seconds = self._rules.part_block_seconds
+        if _is_request(suspect):
+            seconds = self._rules.request_block_seconds
+        return seconds * 2 ** min(extra_crashes, 10)
 
     def _drop_expired(self, now):
         for suspect in list(self._crashes):
@@ -363,7 +367,7 @@
             extra = len(crashes) - BLOCKING_CRASHES
             kept = EVIDENCE_SECONDS
             if extra >= 0:
-                kept = max(kept, 2 * self._growing_block_seconds(extra))
+                kept = max(kept, 2 * self._growing_block_seconds(suspect, extra))
             if now - max(crashes.values()) > kept:
                 self._drop(suspect)
 
--- a/rosemarypath/scheduling/stagedquarantine.py
+++ b/rosemarypath/scheduling/stagedquarantine.py
@@ -20,9 +20,14 @@
 
 ANY_STAGE_PREFIX = "unended:"  # in reports, of suspects in crashes at any stage
 # Crashes of back ends with streams in flight also hit sound ones, so that a part needs
-# one more and a wrong suspicion ends sooner.
+# one more. While all back ends are down, no answer can clear the parts that all
+# requests share: they are soon tried again, and then only the deadly one is in crashes.
 ANY_STAGE_RULES = BlockingRules(
-    part_crashes=3, crash_gap=0.5, block_seconds=60.0, max_news=64
+    part_crashes=3,
+    crash_gap=0.5,
+    part_block_seconds=2.0,
+    request_block_seconds=60.0,
+    max_news=64,
 )
 
 
