Decode batches by one class for readable and unreadable messages

RawBatch repeated the fields of Batch, and the link knew both decoders. Batch and Frame are generic in their message now.

--- a/bench/edgecosts.py
+++ b/bench/edgecosts.py
@@ -17,7 +17,7 @@
 from rosemarypath.backendstate import BackEndState
 from rosemarypath.decisionlog import DecisionLog
 from rosemarypath.demand import Demand
-from rosemarypath.frames import Batch, Frame
+from rosemarypath.frames import Batch, BatchDecoder, Frame
 from rosemarypath.peermessages import PeerState
 from rosemarypath.scheduling.choice import ChoiceFacts, choose_back_end
 from rosemarypath.sse import EventSplitter
@@ -68,7 +68,7 @@
 def main():
     """Print each cost on a line."""
     encoder = msgspec.msgpack.Encoder()
-    decoder = msgspec.msgpack.Decoder(Batch)
+    decoder = BatchDecoder()
     for engines in (0, 1, 10):
         batch = Batch(
             "me/1", "h:1", "you/1", [Frame(0, 0, build_heartbeat(engines, 22))]
--- a/rosemarypath/frames.py
+++ b/rosemarypath/frames.py
@@ -7,18 +7,23 @@
 
 import functools
 import operator
+from typing import Generic, TypeVar
 
 import msgspec
 
 from rosemarypath import messages, peermessages  # noqa: F401 (defines messages)
 
-__all__ = ["NOT_TOLD", "Batch", "Frame", "RawBatch", "decode_readable"]
+__all__ = ["DECODE_ERRORS", "NOT_TOLD", "Batch", "BatchDecoder", "Frame"]
 
 NOT_TOLD = -1
+DECODE_ERRORS = (msgspec.DecodeError, ValueError, RecursionError)
 Body = functools.reduce(operator.or_, messages.Message.__subclasses__())
 
 
-class Frame(msgspec.Struct, frozen=True, array_like=True):
+MessageBody = TypeVar("MessageBody")
+
+
+class Frame(msgspec.Struct, Generic[MessageBody], frozen=True, array_like=True):
     """
     One message in a batch.
 
@@ -28,10 +33,10 @@
 
     number: int
     reply_to: int
-    body: Body
+    body: MessageBody
 
 
-class Batch(msgspec.Struct, frozen=True, array_like=True):
+class Batch(msgspec.Struct, Generic[MessageBody], frozen=True, array_like=True):
     """
     Messages sent together from one incarnation of a daemon to another.
 
@@ -45,47 +50,39 @@
     sender: str
     sender_address: str
     receiver: str
-    frames: list[Frame]
+    frames: list[Frame[MessageBody]]
     number: int = 0
     received_number: int = NOT_TOLD
 
 
-class _RawFrame(msgspec.Struct, frozen=True, array_like=True):
-    """A `Frame` whose message is not decoded yet."""
-
-    number: int
-    reply_to: int
-    body: msgspec.Raw
-
-
-class RawBatch(msgspec.Struct, frozen=True, array_like=True):
-    """A `Batch` whose messages are not decoded yet."""
-
-    sender: str
-    sender_address: str
-    receiver: str
-    frames: list[_RawFrame]
-    number: int = 0
-    received_number: int = NOT_TOLD
-
+class BatchDecoder:
+    """Decodes batches; an unreadable message costs only itself."""
 
-_body_decoder = msgspec.msgpack.Decoder(Body)
+    def __init__(self):
+        self._decoder = msgspec.msgpack.Decoder(Batch[Body])
+        self._raw_decoder = msgspec.msgpack.Decoder(Batch[msgspec.Raw])
+        self._body_decoder = msgspec.msgpack.Decoder(Body)
 
+    def decode(self, data):
+        """
+        Return the `Batch` in `data`, and the error of its last unreadable message.
 
-def decode_readable(raw):
-    """Return the `Batch` of a `RawBatch` without the messages that are unreadable."""
-    frames = []
-    for frame in raw.frames:
+        The error is ``None`` if all are readable. Raises one of `DECODE_ERRORS` if the
+        batch itself is not.
+        """
         try:
-            body = _body_decoder.decode(frame.body)
-        except (msgspec.DecodeError, ValueError, RecursionError):
-            continue
-        frames.append(Frame(frame.number, frame.reply_to, body))
-    return Batch(
-        raw.sender,
-        raw.sender_address,
-        raw.receiver,
-        frames,
-        raw.number,
-        raw.received_number,
-    )
+            return self._decoder.decode(data), None
+        except DECODE_ERRORS:
+            return self._decode_each(self._raw_decoder.decode(data))
+
+    def _decode_each(self, raw):
+        frames = []
+        last_error = None
+        for frame in raw.frames:
+            try:
+                body = self._body_decoder.decode(frame.body)
+            except DECODE_ERRORS as error:
+                last_error = error
+            else:
+                frames.append(msgspec.structs.replace(frame, body=body))
+        return msgspec.structs.replace(raw, frames=frames), last_error
--- a/rosemarypath/link.py
+++ b/rosemarypath/link.py
@@ -19,7 +19,7 @@
 
 import msgspec
 
-from rosemarypath.frames import NOT_TOLD, Batch, Frame, RawBatch, decode_readable
+from rosemarypath.frames import DECODE_ERRORS, NOT_TOLD, Batch, BatchDecoder, Frame
 from rosemarypath.log import get_logger
 from rosemarypath.machine import is_address
 
@@ -235,8 +235,7 @@
         self._dial_address = dial_address
         self._on_silent = on_silent
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Batch)
-        self._raw_decoder = msgspec.msgpack.Decoder(RawBatch)
+        self._decoder = BatchDecoder()
         self._links = {}
         self._addresses = {}
         self._handlers = {}
@@ -379,21 +378,15 @@
         self.counts["batches_received"] += 1
         self.counts["bytes_received"] += len(data)
         try:
-            batch = self._decoder.decode(data)
-        except (msgspec.DecodeError, ValueError, RecursionError) as error:
+            batch, error = self._decoder.decode(data)
+        except DECODE_ERRORS as batch_error:
+            self.counts["unreadable"] += 1
+            self._warn_once("a batch that cannot be decoded", str(batch_error))
+            return
+        if error is not None:
             self.counts["unreadable"] += 1
             self._warn_once("a message that cannot be decoded", str(error))
-            batch = self._decode_readable(data)
-        if batch is not None:
-            self._deliver_batch(batch)
-
-    def _decode_readable(self, data):
-        """Return a batch without its unreadable messages, ``None`` if it is itself."""
-        try:
-            return decode_readable(self._raw_decoder.decode(data))
-        except (msgspec.DecodeError, ValueError, RecursionError) as error:
-            self._warn_once("a batch that cannot be decoded", str(error))
-            return None
+        self._deliver_batch(batch)
 
     def _deliver_batch(self, batch):
         if batch.receiver != self.identity:
