--- a/rosemarypath/commands/reporting.py
+++ b/rosemarypath/commands/reporting.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 
 from rosemarypath.commands import Command, add_daemon_argument, command
-from rosemarypath.errors import RosemarypathError
-from rosemarypath.httpclient import ConnectError, ConnectionPool, ResponseError
+from rosemarypath.connectionpool import ConnectionPool
+from rosemarypath.errors import ConnectError, ResponseError, RosemarypathError
 from rosemarypath.report import burn_table, html_page, merge_levels, text_lines
 
 __all__ = ["ReportCommand"]
--- a/rosemarypath/edge.py
+++ b/rosemarypath/edge.py
@@ -12,6 +12,7 @@
 from rosemarypath.admission import Admission
 from rosemarypath.bytebudget import ByteBudget
 from rosemarypath.clock import lease_now, now
+from rosemarypath.connectionpool import ConnectionPool
 from rosemarypath.controllermanager import ControllerManager
 from rosemarypath.decisionlog import FLUSH_INTERVAL_SECONDS, DecisionLog
 from rosemarypath.edgemetrics import EdgeMetrics
@@ -20,7 +21,6 @@
 from rosemarypath.fleet import FleetView
 from rosemarypath.forwarding import Forwarder
 from rosemarypath.heartbeats import Heartbeats
-from rosemarypath.httpclient import ConnectionPool
 from rosemarypath.leaseconfirmation import LeaseConfirmer
 from rosemarypath.link import Mesh
 from rosemarypath.listener import Listener
--- a/tests/edgefleet.py
+++ b/tests/edgefleet.py
@@ -13,10 +13,11 @@
 from contextlib import asynccontextmanager
 
 from bench.ports import free_ports
+from rosemarypath.connectionpool import ConnectionPool
 from rosemarypath.decisionlog import DecisionLog
 from rosemarypath.edge import EdgeDaemon
 from rosemarypath.edgesettings import EdgeSettings
-from rosemarypath.httpclient import ConnectionPool, encode_request
+from rosemarypath.httpclient import encode_request
 from rosemarypath.platform.dialect import PlatformDialect
 from standins.platformstore import PlatformStoreStandIn
 from standins.replica import MODEL, EngineState, Replica
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from rosemarypath.httpclient import ConnectionPool
+from rosemarypath.connectionpool import ConnectionPool
 from rosemarypath.storeavailability import ENTRY_RECOVERY_SECONDS
 from tests.edgefleet import configuration, running_fleet
 
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -9,27 +9,21 @@
 import asyncio
 import socket
 import struct
-from pathlib import Path
 
 import pytest
 from hypothesis import given, settings, strategies as st
 
 from bench.ports import free_ports
-from rosemarypath.bytebudget import ByteBudget
 from rosemarypath.errors import AnswerTooLargeError, ConnectError, ResponseError
 from rosemarypath.httpclient import (
     MAX_NON_BODY_BYTES,
     MAX_UNREAD_BYTES,
     Connection,
-    ConnectionPool,
     encode_request,
 )
 
 GET = encode_request(b"GET", b"/", [(b"Host", b"h")])
 GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
-BURST = 60  # endless answers at once
-BURST_BUDGET_BYTES = 37_500_000  # of a process that may use 300 MB
-MAX_GROWTH_MIB = 150.0  # half of that
 CHUNKED = (
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
@@ -145,54 +139,6 @@
         asyncio.run(run())
 
 
-def test_call_to_an_unresponsive_server_ends_at_its_timeout():
-    async def serve(reader, writer):
-        await asyncio.sleep(5)
-
-    async def run():
-        port = free_ports(1)[0]
-        server = await asyncio.start_server(serve, "127.0.0.1", port)
-        loop = asyncio.get_running_loop()
-        started = loop.time()
-        pool = ConnectionPool()
-        with pytest.raises(ResponseError):
-            await pool.call(f"127.0.0.1:{port}", b"GET", b"/", [], b"", 0.2, 0.0)
-        server.close()
-        return loop.time() - started
-
-    assert asyncio.run(run()) < 0.5
-
-
-def test_idle_connection_is_reused_until_its_limit():
-    async def serve(reader, writer):
-        while await reader.readuntil(b"\r\n\r\n"):
-            writer.write(GOOD)
-
-    async def run():
-        port = free_ports(1)[0]
-        server = await asyncio.start_server(serve, "127.0.0.1", port)
-        pool = ConnectionPool()
-        address = f"127.0.0.1:{port}"
-        first = await pool.acquire(address, 0.0)
-        first.send(GET)
-        await first.head()
-        await first.read_all()
-        pool.release(first, 0.0)
-        again = await pool.acquire(address, 0.5)
-        assert again is first
-        again.send(GET)
-        await again.read_all()
-        pool.release(again, 0.5)
-        later = await pool.acquire(address, 60.0)
-        assert later is not first
-        fresh = await pool.acquire(address, 60.0, is_new=True)
-        assert fresh is not later
-        pool.close()
-        server.close()
-
-    asyncio.run(run())
-
-
 PIECE = 64 * 1024
 MAX_BODY = 1024 * 1024
 FLOOD_MAX_BYTES = 256 * 1024 * 1024
@@ -278,67 +224,6 @@
     asyncio.run(flooded_call(*FLOODS["body"], read_late))
 
 
-def resident_mib():
-    """Return the memory of this process in MiB."""
-    for line in Path("/proc/self/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) / 1024
-    raise LookupError("VmRSS")
-
-
-async def peak_growth(tasks):
-    """Return by how many MiB this process grows at most until the tasks are done."""
-    before = peak = resident_mib()
-    while not all(task.done() for task in tasks):
-        await asyncio.sleep(0.01)
-        peak = max(peak, resident_mib())
-    return peak - before
-
-
-@pytest.mark.parametrize("head", FLOODS)
-def test_many_endless_answers_at_once_leave_memory_for_sound_ones(head):
-    """Faulty replicas in a burst: the bound of each answer did not bound their sum."""
-    start, piece = FLOODS[head]
-
-    async def serve(reader, writer):
-        request = await reader.readuntil(b"\r\n\r\n")
-        if request.startswith(b"GET /sound"):
-            await asyncio.sleep(0.3)
-            writer.write(GOOD)
-            writer.close()
-            return
-        try:
-            writer.write(start)
-            while True:
-                writer.write(piece)
-                await writer.drain()
-        except ConnectionError:
-            pass
-        finally:
-            writer.close()
-
-    async def run():
-        port = free_ports(1)[0]
-        server = await asyncio.start_server(serve, "127.0.0.1", port)
-        pool = ConnectionPool(ByteBudget(BURST_BUDGET_BYTES))
-
-        async def call(path):
-            address = f"127.0.0.1:{port}"
-            return await pool.call(address, b"GET", path, [], b"", 4.0, 0.0)
-
-        paths = [b"/endless"] * BURST + [b"/sound"] * 5
-        tasks = [asyncio.ensure_future(call(path)) for path in paths]
-        growth = await peak_growth(tasks)
-        results = await asyncio.gather(*tasks, return_exceptions=True)
-        pool.close()
-        server.close()
-        assert all(isinstance(one, ResponseError) for one in results[:BURST])
-        assert [one.body for one in results[BURST:]] == [b"hello"] * 5
-        assert growth < MAX_GROWTH_MIB
-
-    asyncio.run(run())
-
-
 def test_a_dropped_answer_never_looks_complete():
     async def serve(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
