Split the recording of results and crashes from the sender

sending.py had three jobs: to send and pass on, to record how sends end, and to tell the quarantine. Moved as they were; a withdrawn send's connection is released at one place. tests/test_sending.py and tests/test_draining.py pass.

--- a/rosemarypath/forwarding.py
+++ b/rosemarypath/forwarding.py
@@ -13,7 +13,8 @@
 from rosemarypath.outcome import NotRun, Unknown
 from rosemarypath.scheduling.choice import ChoiceFacts, Refusal, choose_back_end
 from rosemarypath.scheduling.quarantine import CLEAR
-from rosemarypath.sending import LIMITED, WITHDRAWN, Sender
+from rosemarypath.sending import Sender
+from rosemarypath.sendresults import LIMITED, WITHDRAWN
 
 __all__ = ["Forwarder"]
 
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -9,14 +9,16 @@
 import functools
 
 from rosemarypath.clock import lease_now, now
+from rosemarypath.crashrecorder import SERVER_ERROR, CrashRecorder
 from rosemarypath.errors import AnswerTooLargeError, ConnectError, ResponseError
 from rosemarypath.httpclient import encode_head
 from rosemarypath.outcome import NotRun, Unknown
 from rosemarypath.requestcontext import Send
 from rosemarypath.routing import STREAM
+from rosemarypath.sendresults import SendResults
 from rosemarypath.takeover import Takeover
 
-__all__ = ["WITHDRAWN", "Sender"]
+__all__ = ["Sender"]
 
 # After such a silence an idempotent request moves to another back end, if one can take
 # it over; else it stays, as a healthy back end may fall silent for a while and go on.
@@ -24,25 +26,14 @@
 EVENT_GAP_TIMEOUT_SECONDS = 1.2  # between two events
 ANSWER_TIMEOUT_SHARE = 0.5  # of the remaining time, for an idempotent call
 MIN_ANSWER_TIMEOUT_SECONDS = 0.7  # a slow but healthy back end answers within this
-UNREACHABLE_WEIGHT = 2.0  # failures that a refused connection counts as
-MISDIRECTED_WEIGHT = 4.0  # the same where another back end has the address now
-SILENCE_WEIGHT = 0.5  # the same for one that fell silent and may go on
-REJECTED_WEIGHT = 0.5  # the same for a request that the back end rejected
-REJECTED_RETRY_SECONDS = 0.3  # until a full back end has capacity again
-UNREACHABLE_RETRY_SECONDS = 0.1  # short, as another back end is tried next
 # A second engine begins to answer within this time, while the first may go on; the
 # users' rules allow both to work on a request for 0.4 s.
 OFFER_SECONDS = 0.3
 OFFER_PAUSE_SECONDS = 1.0  # until a back end that did not take a request is asked again
 UNANSWERED_OFFER_PAUSE_SECONDS = 0.3  # the same if it only did not answer in time
 MAX_SILENCE_SECONDS = 1.8  # longer than a sound engine is silent
-CRASH_CHECK_SECONDS = 0.3  # to find out whether a back end still listens
-MISDIRECTED = 421
-SERVER_ERROR = 500  # and higher statuses
 GRANT_SECONDS = 0.5  # for which a send may use its grant
-LIMITED = "limited"  # the back end takes no more requests from all daemons for now
 SUPERSEDED = "superseded"  # the silent back end went on before another one answered
-WITHDRAWN = "withdrawn"  # the back end stopped accepting the request meanwhile
 
 
 class Sender:
@@ -80,8 +71,8 @@
         self._dialect = dialect
         self._pool = pool
         self._fleet = fleet
-        self._log = log
-        self._metrics = metrics
+        self._results = SendResults(fleet, log, metrics)
+        self._crashes = CrashRecorder(pool, fleet.quarantine, log)
 
     async def send(self, context, state, connection):
         """
@@ -102,7 +93,7 @@
             context.enter_stage("grant", state.name, send.started)
             seconds = await self._fleet.grants.acquire(state.incarnation)
             if seconds > 0.0:
-                return self._fail_limited(send, seconds)
+                return self._results.limited(send, seconds)
             send.granted_at = lease_now()
             context.enter_stage("send", state.name, now())
         is_fresh = not context.route.is_idempotent
@@ -111,7 +102,7 @@
                 state.back_end.address, send.started, is_fresh
             )
         except ConnectError as error:
-            return self._fail_unreachable(send, error.message)
+            return self._results.unreachable(send, error.message)
         # The latency of the answer excludes the time to connect.
         send.connect_seconds = now() - send.started
         return send
@@ -121,14 +112,14 @@
         context = send.context
         send.caller = connection
         if not send.is_begun and not self._begin(send):
-            return self._fail_withdrawn(send)
+            return self._results.withdrawn(send)
         context.events = send.events
         try:
             outcome = await self._exchange(send)
             if send.has_lost_connection:
-                await self._record_crash(send)
+                await self._crashes.record_crash(send)
             elif send.is_complete:
-                self._record_complete(send, outcome is None)
+                self._crashes.record_complete(send, outcome is None)
             return outcome
         except asyncio.CancelledError:
             context.may_have_run = True
@@ -141,6 +132,7 @@
         context, state = send.context, send.state
         send.started = now()
         if not self._may_send(send):
+            self._pool.release(send.upstream, now())
             return False
         send.is_begun = True
         send.events = context.events.resumed()
@@ -175,13 +167,13 @@
         """
         context = send.context
         if not self._begin(send):
-            self._fail_withdrawn(send)
+            self._results.withdrawn(send)
             return False
         try:
             outcome = await self._await_taking(send, former)
         except asyncio.CancelledError:
             context.may_have_run = True
-            self._log_end(send, SUPERSEDED, "")
+            self._results.log_end(send, SUPERSEDED, "")
             self._end(send)
             raise
         send.is_taken = outcome is None
@@ -189,7 +181,7 @@
         if not send.is_taken:
             self._end(send)
         if send.has_lost_connection:
-            await self._record_crash(send)
+            await self._crashes.record_crash(send)
         return send.is_taken
 
     async def _await_taking(self, send, former):
@@ -206,7 +198,7 @@
                 return None
             pause = UNANSWERED_OFFER_PAUSE_SECONDS
             context.not_offered_until[send.state.name] = now() + pause
-            self._log_end(send, "silent", "not taken over in time")
+            self._results.log_end(send, "silent", "not taken over in time")
             return Unknown(504, "silent", "not taken over in time")
 
     async def _read_beginning(self, send, is_stream):
@@ -217,7 +209,7 @@
         if outcome is not None:
             return outcome
         if not send.head.is_success or not send.head.is_signed:
-            return self._fail_unknown(send, "broken", str(send.head.status))
+            return self._results.unknown(send, "broken", str(send.head.status))
         try:
             if is_stream:
                 send.first_events = await self._read_events(send)
@@ -225,7 +217,7 @@
                 send.body = await send.upstream.read_all()
         except ResponseError as error:
             send.has_lost_connection = True
-            return self._fail_unknown(send, "broken", error.message)
+            return self._results.unknown(send, "broken", error.message)
         return None
 
     def discard_prepared(self, context):
@@ -251,49 +243,6 @@
             return False
         return self._fleet.accepts_request(send.state, is_granted, now())
 
-    async def _record_crash(self, send):
-        """Record a crash under the request if the back end is gone."""
-        address = send.state.back_end.address
-        if not await self._pool.is_refused(address, now(), CRASH_CHECK_SECONDS):
-            return
-        suspects = send.context.suspects
-        send.context.was_in_crash = True
-        self._fleet.quarantine.record_crash(
-            send.state.incarnation, suspects, now(), send.has_first_event
-        )
-        self._log.write(
-            "quarantine",
-            "crash",
-            request=send.context.id,
-            back_end=send.state.name,
-            events=send.context.events.event_count,
-            suspects=suspects,
-        )
-
-    def _known_suspects(self, context):
-        """Return what an answer may clear; the body is hashed only if needed."""
-        if self._fleet.quarantine.has_suspects:
-            return context.suspects
-        return context.suspected_parts
-
-    def _record_begun(self, context):
-        """Record that a back end began to answer the request."""
-        self._fleet.quarantine.record_begun(self._known_suspects(context), now())
-
-    def _record_complete(self, send, is_valid):
-        """
-        Record that an answer ended whole.
-
-        An error does not show that the request ran, and the end of an answer that was
-        resumed after a crash does not show that all of it is harmless.
-        """
-        suspects = self._known_suspects(send.context)
-        is_proof = is_valid and send.head.status < SERVER_ERROR
-        if is_proof and not send.context.was_in_crash:
-            self._fleet.quarantine.record_complete(suspects, now())
-        else:
-            self._fleet.quarantine.record_begun(suspects, now())
-
     async def _exchange(self, send):
         if send.head is None:
             outcome = await self._read_head(send, self._receive)
@@ -313,15 +262,15 @@
             reply = await receive(send, send.upstream.head, due)
         except ResponseError as error:
             send.has_lost_connection = True
-            return self._fail_unknown(send, "broken", error.message)
+            return self._results.unknown(send, "broken", error.message)
         except TimeoutError:
-            return self._fail_unknown(send, "silent", "no answer before the timeout")
+            return self._results.unknown(send, "silent", "no answer before the timeout")
         send.head = self._answer_head(send, reply)
         if send.head.feedback is not None:
             self._fleet.record_feedback(
                 send.state, send.head.feedback, send.started, now()
             )
-        return self._fail_rejected(send) if send.head.has_not_run else None
+        return self._results.rejected(send) if send.head.has_not_run else None
 
     def _write_request(self, send):
         send.is_sent = True
@@ -348,7 +297,7 @@
             is_final = not send.context.route.is_idempotent
             if is_final or send.context.remaining(now()) <= 0.0:
                 raise
-        self._record_silence(send)
+        self._results.record_silence(send)
         return await self._takeover.receive(send, receive)
 
     def _first_timeout(self, context, at):
@@ -395,27 +344,27 @@
                     body = await send.upstream.read_all()
         except ResponseError as error:
             send.has_lost_connection = True
-            return self._fail_unknown(send, "broken", error.message)
+            return self._results.unknown(send, "broken", error.message)
         except TimeoutError:
-            return self._fail_unknown(
+            return self._results.unknown(
                 send, "silent", "answer incomplete at the deadline"
             )
         send.is_complete = True
         if 200 <= head.status < 300 and not head.is_signed:
-            return self._fail_unknown(send, "broken", "answer without signature")
+            return self._results.unknown(send, "broken", "answer without signature")
         if head.status >= SERVER_ERROR:
             if context.route.is_idempotent and context.head is None:
                 context.failure = (head, body)
-                return self._fail_unknown(send, "failed", str(head.status))
+                return self._results.unknown(send, "failed", str(head.status))
         else:
             send.state.record_success(now(), now() - send.started)
         if context.head is not None:
-            return self._fail_unknown(
+            return self._results.unknown(
                 send, "broken", "answer to a resumed stream is not a stream"
             )
         context.record_event(now())
         send.caller.answer(head.status, head.headers, body)
-        self._log_end(send, "answered", str(head.status))
+        self._results.log_end(send, "answered", str(head.status))
         return None
 
     async def _answer_stream(self, send):
@@ -435,23 +384,23 @@
                 event_due = now() + gap_timeout
                 complete_events = await self._receive(send, read, event_due)
         except AnswerTooLargeError as error:
-            return self._fail_unknown(send, "broken", error.message)
+            return self._results.unknown(send, "broken", error.message)
         except ResponseError as error:
             send.has_lost_connection = True
-            return self._fail_unknown(send, "broken", error.message)
+            return self._results.unknown(send, "broken", error.message)
         except TimeoutError:
-            return self._fail_unknown(
+            return self._results.unknown(
                 send, "silent", "no further event before the timeout"
             )
         if not send.upstream.is_framed and (events.partial or not events.event_count):
             send.has_lost_connection = True
-            return self._fail_unknown(
+            return self._results.unknown(
                 send, "broken", "connection ended before the end of an event"
             )
         send.is_complete = True
         self._write_stream(send, events.partial)
         send.caller.end()
-        self._log_end(send, "answered", "stream")
+        self._results.log_end(send, "answered", "stream")
         return None
 
     @staticmethod
@@ -482,7 +431,7 @@
     def _record_first_event(self, send):
         """Record the first event, at which the engine has read the prompt."""
         send.has_first_event = True
-        self._record_begun(send.context)
+        self._crashes.record_begun(send.context)
         send.state.record_first_byte(send.context.demand)
         send.state.record_success(now(), now() - send.started)
 
@@ -494,97 +443,6 @@
         if data:
             send.caller.write(data)
 
-    def _fail_unreachable(self, send, message):
-        """Record a failed connection; return a `NotRun`."""
-        send.state.record_failure(now(), UNREACHABLE_WEIGHT)
-        self._log_end(send, "unreachable", message)
-        send.context.excluded.add(send.state.name)
-        return NotRun(503, "unreachable", message, UNREACHABLE_RETRY_SECONDS, True)
-
-    def _fail_limited(self, send, seconds):
-        """Record that the back end takes no further request for `seconds`."""
-        send.state.close(now() + seconds)
-        self._log_end(send, LIMITED, f"{seconds:.3f}")
-        return NotRun(503, LIMITED, "the back end's limit is used up", seconds, True)
-
-    def _fail_withdrawn(self, send):
-        """Record that the back end stopped accepting requests during the connect."""
-        self._pool.release(send.upstream, now())
-        self._log_end(send, WITHDRAWN, "")
-        return NotRun(
-            503,
-            WITHDRAWN,
-            "the back end stopped accepting requests",
-            UNREACHABLE_RETRY_SECONDS,
-            True,
-        )
-
-    def _fail_unknown(self, send, reason, message):
-        """Record a missing, incomplete or invalid answer; return an `Unknown`."""
-        context, state = send.context, send.state
-        state.record_failure(now())
-        self._log_end(send, reason, message)
-        context.excluded |= context.excluded_after_failure(state.name)
-        status = 504 if context.remaining(now()) <= 0.0 else 502
-        return Unknown(status, reason, message)
-
-    def _fail_rejected(self, send):
-        """Record that the back end answered that it did not run the request."""
-        context, state, head = send.context, send.state, send.head
-        context.rejections += 1
-        self._log_end(send, "rejected", str(head.status))
-        if head.is_other_back_end:
-            state.record_failure(now(), MISDIRECTED_WEIGHT)
-            context.excluded.add(state.name)
-        elif head.status == MISDIRECTED:
-            state.adapters.pop(context.demand.adapter_key, None)
-            self._fleet.record_missing(state, context.demand.adapter_key)
-        else:
-            state.record_failure(now(), REJECTED_WEIGHT)
-            context.excluded |= context.excluded_after_failure(state.name)
-        return NotRun(
-            503,
-            "rejected",
-            "the back end rejected the request",
-            REJECTED_RETRY_SECONDS,
-            True,
-        )
-
-    def _record_silence(self, send):
-        """Record, once a send, that the back end fell silent."""
-        if send.was_silent:
-            return
-        send.was_silent = True
-        send.state.record_failure(now(), SILENCE_WEIGHT)
-        self._metrics.count("silences")
-        self._log.write(
-            "send",
-            "waiting",
-            request=send.context.id,
-            back_end=send.state.name,
-            sends=send.context.sends,
-            events=send.context.events.event_count,
-            seconds=round(now() - send.started, 4),
-        )
-
-    def _log_end(self, send, event, message):
-        context = send.context
-        seconds = now() - send.started
-        self._metrics.observe(event, context.route.kind, seconds)
-        self._log.write(
-            "send",
-            event,
-            request=context.id,
-            back_end=send.state.name,
-            sends=context.sends,
-            events=(send.events or context.events).event_count,
-            seconds=round(seconds, 4),
-            connecting=round(send.connect_seconds, 4),
-            first=round((context.first_event_at or now()) - context.request.arrived, 4),
-            gap=round(context.longest_gap, 4),
-            detail=message,
-        )
-
 
 async def _receive_now(send, receive, due):
     """Return what ``await receive()`` returns; the time limit is the caller's."""
