Repeat evidence of crashes to the own group as well

What callers would see: a daemon that missed two heartbeats serves a deadly part that all others block.

Cause: a leader builds two digests in one beat, for other leaders and for its own group, and each asked for the evidence; what is due to be repeated was taken by the first. Both now carry the same evidence. test_leaders_repeat_evidence_to_their_own_group_as_well failed before: within 6 s the groups were told nothing again.

--- a/rosemarypath/heartbeats.py
+++ b/rosemarypath/heartbeats.py
@@ -105,8 +105,9 @@
         if not self._peers.is_grouped:
             return
         if self._peers.group_leader(is_leaving, now()) == self._peers.own.name:
-            self._send_group_digest(state)
-            self._relay_other_groups()
+            evidence = self._fleet.quarantine.report(now())
+            self._send_group_digest(state, evidence)
+            self._relay_other_groups(evidence)
 
     def _omit_unchanged_held(self, state):
         """Return `state` without `held` if the last heartbeat had the same."""
@@ -119,9 +120,9 @@
             return state
         return msgspec.structs.replace(state, held={}, is_held_unchanged=True)
 
-    def _send_group_digest(self, state):
+    def _send_group_digest(self, state, evidence):
         """Send the digest of the own group to the leaders of the other groups."""
-        digest = self._build_group_digest(state)
+        digest = self._build_group_digest(state, evidence)
         for group in self._peers.other_groups:
             for machine in self._digest_recipients(group):
                 self._mesh.send(machine.identity, digest, expect_answer=True)
@@ -139,7 +140,7 @@
         count = min(LEADER_SEARCH_FANOUT, len(group))
         return [group[(first + number) % len(group)] for number in range(count)]
 
-    def _relay_other_groups(self):
+    def _relay_other_groups(self, evidence):
         """Send the digest of all other groups to the own group."""
         at = now()
         total = AggregatedState()
@@ -147,9 +148,8 @@
         for heard_at, digest in self._recent_leader_digests(at):
             total.add_digest(digest, at - heard_at)
             members += [_add_age(member, at - heard_at) for member in digest.members]
-        digest = self._build_digest(
-            "others", total, members, self._other_group_grants.including_own({})
-        )
+        spent = self._other_group_grants.including_own({})
+        digest = self._build_digest("others", total, members, spent, evidence)
         for peer in self._peers.direct_peers:
             self._mesh.send(peer.machine.identity, digest)
 
@@ -162,7 +162,7 @@
         }
         return self._leader_digests.values()
 
-    def _build_group_digest(self, state):
+    def _build_group_digest(self, state, evidence):
         at = now()
         total = AggregatedState()
         total.add_state(state)
@@ -174,15 +174,15 @@
                 members.append(_member_state(peer.machine.identity, known, age))
                 total.add_state(known, age)
         spent = self._group_grants.including_own(state.spent)
-        return self._build_digest("group", total, members, spent)
+        return self._build_digest("group", total, members, spent, evidence)
 
-    def _build_digest(self, scope, total, members, spent):
+    def _build_digest(self, scope, total, members, spent, evidence):
         """Return the digest of `total`; each FULL_DIGEST_INTERVAL, a full one."""
         is_full = self._sent_count % FULL_DIGEST_INTERVAL == 0
         is_same = total.held == self._last_digest_held.get(scope)
         is_unchanged = is_same and self._sent_count % HELD_REPEAT_INTERVAL != 0
         self._last_digest_held[scope] = total.held
-        crashes, begun = self._fleet.quarantine.report(now())
+        crashes, begun = evidence
         digest = GroupDigest(
             leader=self._peers.own.identity,
             number=self._peers.number,
--- a/tests/test_stagedquarantine.py
+++ b/tests/test_stagedquarantine.py
@@ -188,3 +188,31 @@
         sent += len(msgspec.msgpack.encode(report))
     # A tenth of a link of 10 Mbit/s, for the 4 s of the crashes, to 17 other daemons.
     assert 17 * sent < 0.1 * 10e6 / 8 * 4.0
+
+
+def test_leaders_repeat_evidence_to_their_own_group_as_well(monkeypatch):
+    """A leader repeated it only to other leaders, as it builds their digest first."""
+    play = Play(40, monkeypatch)
+    play.beat(3.0)
+    first = play.daemons[0]
+    groups = {
+        daemon.machine.identity: {
+            peer.machine.identity for peer in daemon.peers.direct_peers
+        }
+        for daemon in play.daemons
+    }
+    for number in range(ANY_STAGE_RULES.part_crashes):
+        first.fleet.quarantine.record_crash(f"e{number}", ("deadly",), play.now, True)
+        play.beat(GAP + BEAT)
+    told = []
+
+    def note(sender, receiver, message):
+        own_group = groups[first.machine.identity] | {first.machine.identity}
+        is_relayed = receiver in groups[sender] and sender not in own_group
+        if is_relayed and message.crashes:
+            told.append(play.now)
+        return 0
+
+    play.network.measure = note
+    play.beat(3 * ANY_STAGE_RULES.repeat_seconds)
+    assert len(set(told)) >= 2
