--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,10 +1,11 @@
 """
-Opens many connections whose chunked bodies stop just short of their end.
+Lets a replica end one answer of fifty inside an event, with a proper last chunk.
 
-Ordinary callers must still get answers.
+A caller must not get that as a complete stream.
 """
 
 import asyncio
+import re
 import sys
 from pathlib import Path
 
@@ -12,75 +13,91 @@
 sys.path.insert(0, str(FOLDER.parent.parent))
 
 from review.lab import (  # noqa: E402
+    MODEL,
     Replica,
-    answer_ok,
     call,
     encode,
     main,
     route,
     service,
+    signed,
 )
 
-DAEMONS = 2
-MAX_FDS = 1638  # of the smallest machines on the users' pages
-CROWD = 730  # connections to each daemon
-OBSERVED_SECONDS = 9.0
-PAUSE_SECONDS = 0.3
-CALLER_SECONDS = 1.0  # for which a caller waits for a connection, and tries another
-CHUNKS = b"1\r\nx\r\n" * 20
-
-
-async def open_crowd(daemon):
-    """Return connections whose requests lack the last chunk of their bodies."""
-    host, port = daemon.front.split(":")
-    writers = []
-    for number in range(CROWD):
-        headers = [("X-Attempt-Id", f"crowd-{number}"), ("X-Deadline-Ms", "12000")]
-        headers.append(("Transfer-Encoding", "chunked"))
-        _, writer = await asyncio.open_connection(host, int(port))
-        writer.write(encode("POST", "/orders/1", headers) + CHUNKS)
-        writers.append(writer)
-    return writers
-
-
-async def ask(lab, number):
-    """Send an ordinary request, to one daemon after the other; return if answered."""
-    for daemon in lab.daemons:
-        headers = [
-            ("X-Attempt-Id", f"{number}-{daemon.name}"),
-            ("X-Deadline-Ms", "3000"),
-        ]
-        data = encode("GET", "/stock/1", headers, key="key-2")
-        answer = await call(daemon.front, data, CALLER_SECONDS)
-        lab.record.write(f"request {number} to {daemon.name}: {answer} {answer.why}")
-        if answer.status:
-            return True
-    return False
+STREAMS = 400  # half of them on each route
+EVENTS = 6
+EVENT_SECONDS = 0.005
+ANSWERS_PER_FAULT = 50  # the users' pages: x (.02) of the answers, share (.5)
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def event(number):
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+def chunk(data):
+    """Return a chunk of a body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def stream(lab, is_faulty):
+    """Return a replica's function that answers with a stream of events."""
+    counts = {"answers": 0}
+
+    async def answer(request, writer):
+        counts["answers"] += 1
+        is_cut = is_faulty and counts["answers"] % ANSWERS_PER_FAULT == 0
+        lines = ["HTTP/1.1 200 OK", *(f"{n}: {v}" for n, v in signed(request))]
+        lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        first = int(request.headers.get("last-event-id") or 0) + 1
+        for number in range(first, EVENTS + 1):
+            if is_cut and number == 4:
+                lab.record.write(f"{request.id}: the replica stops inside an event")
+                writer.write(chunk(event(number)[:9]) + LAST_CHUNK)
+                return True
+            writer.write(chunk(event(number)))
+            await asyncio.sleep(EVENT_SECONDS)
+        writer.write(LAST_CHUNK)
+        return True
+
+    return answer
+
+
+def is_kept(answer):
+    """Return whether the pieces that came are in order, and all if it is complete."""
+    numbers = [int(n) for n in re.findall(rb"data: piece (\d+)\n\n", answer.body)]
+    whole = list(range(1, EVENTS + 1))
+    if answer.status != 200 or not answer.is_complete:
+        return numbers == whole[: len(numbers)]
+    return numbers == whole
 
 
 async def play(lab):
-    """Return whether more than half of the ordinary callers got an answer."""
-    lab.max_fds = MAX_FDS
-    replica = Replica("ledger-1", "ledger", answer_ok)
+    """Return whether all streams that ended as complete were whole."""
+    replicas = [
+        Replica("oracle-1", "oracle", stream(lab, lab.is_disturbed), True),
+        Replica("oracle-2", "oracle", stream(lab, False), True),
+    ]
+    prefixes = {"/chat/": True, "/queue/": False}
     routes = [
-        route("orders", "/orders/", "unsafe", "ledger"),
-        route("stock", "/stock/", "safe", "ledger"),
+        route(f"r{prefix}", prefix, "streaming", "oracle", resumable=can_resume)
+        for prefix, can_resume in prefixes.items()
     ]
-    await lab.start(routes, [service("ledger")], [replica], DAEMONS)
-    crowd = []
-    if lab.is_disturbed:
-        for daemon in lab.daemons:
-            crowd += await open_crowd(daemon)
-    lab.record.write(f"{len(crowd)} connections are open")
-    answered = []
-    for number in range(int(OBSERVED_SECONDS / PAUSE_SECONDS)):
-        answered.append(await ask(lab, number))
-        await asyncio.sleep(PAUSE_SECONDS)
-    states = [await daemon.is_ready() for daemon in lab.daemons]
-    lab.record.write(f"{sum(answered)} of {len(answered)} answered; ready: {states}")
-    for writer in crowd:
-        writer.transport.abort()
-    return sum(answered) > len(answered) / 2
+    await lab.start(routes, [service("oracle", True)], replicas, 1)
+    has_held = True
+    for number in range(STREAMS):
+        prefix = list(prefixes)[number * len(prefixes) // STREAMS]
+        headers = [("X-Attempt-Id", f"stream-{number}"), ("X-Deadline-Ms", "12000")]
+        headers += [("X-Model", MODEL), ("X-Token-Usage", "300,30")]
+        headers.append(("X-Prompt-Prefix", f"5c1e:200,{number:x}:100"))
+        data = encode("POST", f"{prefix}1", headers, b"prompt")
+        answer = await call(lab.daemons[0].front, data, 10.0)
+        if not is_kept(answer) or not answer.is_complete:
+            lab.record.write(f"stream-{number} at {prefix}: {answer}: {answer.body}")
+        has_held &= is_kept(answer)
+    lab.record.write(f"{STREAMS} streams, runs {[len(r.runs) for r in replicas]}")
+    return has_held
 
 
 if __name__ == "__main__":
--- a/review/lab.py
+++ b/review/lab.py
@@ -87,11 +87,13 @@
         self.is_engine = is_engine
         self.adapters = list(adapters)
         self.address = ""
+        self.born = 1_700_000_000_000
         self.runs = []
 
     async def start(self):
-        """Listen at a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Listen at a free port, or again at the one that it had."""
+        port = int(self.address.rpartition(":")[2] or 0)
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
@@ -107,7 +109,7 @@
             "state": "ready",
             "coldRemainingMs": 0,
             "sequence": self._order_count,
-            "born": 1_700_000_000_000,
+            "born": self.born,
         }
         if self.is_engine:
             entry["models"] = self._models()
