--- a/review/lab.py
+++ b/review/lab.py
@@ -34,7 +34,8 @@
 STOP_SECONDS = 12.0
 LIMIT_SECONDS = 110.0  # of a whole script
 MAX_FDS = 4100  # of a machine, as the users' page on deployment has it
-HELD, BROKEN, CANNOT_RUN = 0, 1, 2
+# An uncaught exception ends Python with 1, so that `run.sh` gets 3 for a broken rule.
+HELD, BROKEN, CANNOT_RUN = 0, 3, 2
 
 
 class CannotRunError(Exception):
