Know all line ends of event streams

Callers of a stream whose lines end with CR got nothing until it had ended, and then all of it at once. The format (WHATWG HTML standard, server-sent events) allows CRLF, LF and CR, and a byte order mark before the first line.

Cause: EventSplitter looked for \r?\n\r?\n and read identifiers behind LF only.

The stand-in's streams get line ends, a length, and a chosen end.

--- a/rosemarypath/sse.py
+++ b/rosemarypath/sse.py
@@ -3,14 +3,17 @@
 ~~~~~~~~~~~~~~~~
 
 Incremental splitting of a byte stream into whole server-sent events.
+
+The format is ``text/event-stream`` of the WHATWG HTML standard.
 """
 
 import re
 
 __all__ = ["EventSplitter"]
 
-EVENT_END = re.compile(rb"\r?\n\r?\n")
-EVENT_ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
+# A line ends with CRLF, LF or CR; an empty line ends an event.
+EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|[\r\n])")
+EVENT_ID = re.compile(rb"(?:\A(?:\xef\xbb\xbf)?|[\r\n])id(?:: ?([^\r\n]*))?(?=[\r\n])")
 MAX_END_BYTES = 4  # length of the longest event end
 MAX_EVENT_BYTES = 1024 * 1024  # a stream with a larger event is treated as broken
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -70,7 +70,11 @@
     - `slow_events`: seconds between the events of a stream (not a count)
     - `unframed`: answer streams without length and chunks; the end of the connection
       ends them (not a count)
-    - `cuts`: with `unframed`, end the connection in the middle of the third event
+    - `has_length`: announce the length of streams (not a count)
+    - `cuts`: end a stream in the middle of the third event, as if it were whole
+    - `cut_event`: what a stream that is cut holds of the third event (not a count)
+    - `line_end`, `last_bytes`: end of the lines of streams, and what comes after their
+      last event (not counts)
     - `deadly_part`: part of a prompt under which the replica crashes after
       `deadly_events` events (not counts)
     - `deadly_request`: path, customer and body of a request under which the replica
@@ -101,7 +105,11 @@
     mute_orders: int = 0
     slow_events: float = EVENT_INTERVAL_SECONDS
     unframed: bool = False
+    has_length: bool = False
     cuts: int = 0
+    cut_event: bytes = b"id: 3\nd"
+    line_end: bytes = b"\n"
+    last_bytes: bytes = b""
     deadly_part: str = ""
     deadly_events: int = 0
     deadly_request: tuple | None = None
@@ -380,6 +388,18 @@
         if self._consume_fault("extras"):
             connection.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
 
+    def _events(self, first, is_cut):
+        """Return the events of a stream, the last one with what comes after it."""
+        events = [
+            f"id: {number}\ndata: piece {number}\n\n".encode()
+            for number in range(first, EVENT_COUNT + 1)
+        ]
+        if is_cut:
+            events[2:] = [self.faults.cut_event]
+        elif events:
+            events[-1] += self.faults.last_bytes
+        return [event.replace(b"\n", self.faults.line_end) for event in events]
+
     async def _stream(self, connection, headers, request_headers):
         first = int(request_headers.get("last-event-id") or 0) + 1
         is_truncated = self._consume_fault("truncates")
@@ -394,25 +414,23 @@
             return
         if self._consume_fault("late_begins"):
             await asyncio.sleep(self.faults.silent_seconds)
-        connection.write_head(200, headers)
+        events = self._events(first, is_cut)
+        length = sum(map(len, events)) if self.faults.has_length else None
+        connection.write_head(200, headers, length)
         is_silent = self._consume_fault("silences")
         is_trickling = self._consume_fault("trickles")
-        for number in range(first, EVENT_COUNT + 1):
+        for number, event in enumerate(events, first):
             if is_trickling and number == first + 2:
                 while True:
                     connection.write(b"i")
                     await asyncio.sleep(TRICKLE_SECONDS)
             if is_silent and number == first + 2:
                 await asyncio.sleep(self.faults.silent_seconds)
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
             if is_truncated and number == first + 2:
                 connection.write(event[:7])
                 await asyncio.sleep(EVENT_INTERVAL_SECONDS)
                 connection.abort()
                 return
-            if is_cut and number == first + 2:
-                connection.write(event[:7])
-                return
             connection.write(event)
             await asyncio.sleep(self.faults.slow_events)
             if number + 1 == crashes_at:
