Break a stream off that its framing ends inside an event

Cause: the end of an answer was judged by its framing, and its events were looked at only where there is none. What was looked at was too much: any byte after the last event counted as a part of one, so that a sound stream without framing was broken off for an empty line at its end.

Now a stream is whole if its framing says so and no event is open, on each kind of route, for the first answer and a resumed one; empty lines and whole comments are no event. Answers of other media types end as before. An event stream on a safe or unsafe route is judged likewise.

--- a/rosemarypath/demand.py
+++ b/rosemarypath/demand.py
@@ -118,3 +118,9 @@
     def is_success(self):
         """Return whether it is a signed success that may be passed to the caller."""
         return 200 <= self.status < 300 and self.is_signed
+
+    @property
+    def media_type(self):
+        """Return the media type of the body in lower case, empty if it is not named."""
+        value = next((v for name, v in self.headers if name == b"content-type"), b"")
+        return value.partition(b";")[0].strip().lower()
--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -16,6 +16,7 @@
 from rosemarypath.requestcontext import Send
 from rosemarypath.routing import STREAM
 from rosemarypath.sendresults import SendResults
+from rosemarypath.sse import EVENT_STREAM, ends_inside_event
 from rosemarypath.takeover import Takeover
 
 __all__ = ["Sender"]
@@ -34,6 +35,7 @@
 MAX_SILENCE_SECONDS = 1.8  # longer than a sound engine is silent
 GRANT_SECONDS = 0.5  # for which a send may use its grant
 SUPERSEDED = "superseded"  # the silent back end went on before another one answered
+ENDED_INSIDE_EVENT = "the stream ended inside an event"
 
 
 class Sender:
@@ -352,6 +354,12 @@
         send.is_complete = True
         if 200 <= head.status < 300 and not head.is_signed:
             return self._results.unknown(send, "broken", "answer without signature")
+        if (
+            head.is_success
+            and head.media_type == EVENT_STREAM
+            and ends_inside_event(body)
+        ):
+            return self._results.unknown(send, "broken", ENDED_INSIDE_EVENT)
         if context.route.kind != STREAM:
             self._fleet.record_begun(context)
         if head.status >= SERVER_ERROR:
@@ -394,11 +402,9 @@
             return self._results.unknown(
                 send, "silent", "no further event before the timeout"
             )
-        if not send.upstream.is_framed and (events.partial or not events.event_count):
-            send.has_lost_connection = True
-            return self._results.unknown(
-                send, "broken", "connection ended before the end of an event"
-            )
+        if fault := _fault_of_end(send):
+            send.has_lost_connection = not send.upstream.is_reusable
+            return self._results.unknown(send, "broken", fault)
         send.is_complete = True
         self._write_stream(send, events.partial)
         send.caller.end()
@@ -448,6 +454,21 @@
             send.caller.write(data)
 
 
+def _fault_of_end(send):
+    """
+    Return why the answer of a stream is not whole where it has ended, or ``""``.
+
+    Its framing may be whole where the back end broke off.
+    """
+    upstream = send.upstream
+    is_event_stream = send.head.media_type in (b"", EVENT_STREAM)
+    if send.events.is_inside_event and (is_event_stream or not upstream.is_framed):
+        return ENDED_INSIDE_EVENT
+    if not upstream.is_framed and not send.events.event_count:
+        return "the connection ended before the first event"
+    return ""
+
+
 async def _receive_now(send, receive, due):
     """Return what ``await receive()`` returns; the time limit is the caller's."""
     return await receive()
--- a/rosemarypath/sse.py
+++ b/rosemarypath/sse.py
@@ -9,11 +9,14 @@
 
 import re
 
-__all__ = ["EventSplitter"]
+__all__ = ["EVENT_STREAM", "EventSplitter", "ends_inside_event"]
 
+EVENT_STREAM = b"text/event-stream"  # the media type
 # A line ends with CRLF, LF or CR; an empty line ends an event.
 EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|[\r\n])")
 EVENT_ID = re.compile(rb"(?:\A(?:\xef\xbb\xbf)?|[\r\n])id(?:: ?([^\r\n]*))?(?=[\r\n])")
+# Empty lines and whole comments: what may follow the last event of a stream.
+NO_EVENT = re.compile(rb"(?:\xef\xbb\xbf)?(?:(?::[^\r\n]*)?[\r\n])*")
 MAX_END_BYTES = 4  # length of the longest event end
 MAX_EVENT_BYTES = 1024 * 1024  # a stream with a larger event is treated as broken
 
@@ -53,6 +56,15 @@
                 self.last_event_id = identifiers[-1]
         return whole
 
+    @property
+    def is_inside_event(self):
+        """
+        Return whether a stream that ends here was cut inside an event or a line.
+
+        Clients discard an event that no empty line ends.
+        """
+        return NO_EVENT.fullmatch(self.partial) is None
+
     @property
     def is_too_long(self):
         """Return whether the buffered event exceeds `MAX_EVENT_BYTES`."""
@@ -67,3 +79,15 @@
     def drop_partial(self):
         """Drop the buffered partial event, before the stream is resumed."""
         self.partial = b""
+
+
+def ends_inside_event(stream):
+    """
+    Return whether a whole stream ends inside an event.
+
+    >>> ends_inside_event(b"data: a\\n\\ndata"), ends_inside_event(b"data: a\\n\\n")
+    (True, False)
+    """
+    splitter = EventSplitter()
+    splitter.feed(stream)
+    return splitter.is_inside_event
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -71,8 +71,10 @@
     - `unframed`: answer streams without length and chunks; the end of the connection
       ends them (not a count)
     - `has_length`: announce the length of streams (not a count)
-    - `cuts`: end a stream in the middle of the third event, as if it were whole
-    - `cut_event`: what a stream that is cut holds of the third event (not a count)
+    - `cuts`: end a stream after `cut_at` whole events and the beginning of another
+      one, `cut_event`, as if it were whole
+    - `cut_answers`: answer a plain request with an event stream that is cut so
+    - `media_type`: type of the content of streams, none if empty (not a count)
     - `line_end`, `last_bytes`: end of the lines of streams, and what comes after their
       last event (not counts)
     - `deadly_part`: part of a prompt under which the replica crashes after
@@ -107,7 +109,10 @@
     unframed: bool = False
     has_length: bool = False
     cuts: int = 0
+    cut_at: int = 2
     cut_event: bytes = b"id: 3\nd"
+    cut_answers: int = 0
+    media_type: bytes = b""
     line_end: bytes = b"\n"
     last_bytes: bytes = b""
     deadly_part: str = ""
@@ -384,6 +389,9 @@
             if self._consume_fault("silences"):
                 await asyncio.sleep(self.faults.silent_seconds)
             body = f"answer of {self.name} to {attempt_id}".encode()
+            if self._consume_fault("cut_answers"):
+                signed.append((b"Content-Type", b"text/event-stream"))
+                body = b"id: 1\ndata: piece 1\n\n" + self.faults.cut_event
             connection.answer(200, signed, body)
         if self._consume_fault("extras"):
             connection.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
@@ -395,7 +403,7 @@
             for number in range(first, EVENT_COUNT + 1)
         ]
         if is_cut:
-            events[2:] = [self.faults.cut_event]
+            events[self.faults.cut_at :] = [self.faults.cut_event]
         elif events:
             events[-1] += self.faults.last_bytes
         return [event.replace(b"\n", self.faults.line_end) for event in events]
@@ -416,6 +424,8 @@
             await asyncio.sleep(self.faults.silent_seconds)
         events = self._events(first, is_cut)
         length = sum(map(len, events)) if self.faults.has_length else None
+        if self.faults.media_type:
+            headers = [*headers, (b"Content-Type", self.faults.media_type)]
         connection.write_head(200, headers, length)
         is_silent = self._consume_fault("silences")
         is_trickling = self._consume_fault("trickles")
--- a/tests/test_streamends.py
+++ b/tests/test_streamends.py
@@ -9,12 +9,20 @@
 
 import pytest
 
+from rosemarypath.errors import ResponseError
 from tests.edgefleet import running_fleet
-from tests.test_faultyanswers import open_stream
-from tests.test_forwarding import WHOLE
+from tests.test_faultyanswers import open_stream, read_until_cut
+from tests.test_forwarding import WHOLE, ran
 
 EVENT_SECONDS = 0.2
 LINE_ENDS = [b"\n", b"\r\n", b"\r"]
+FRAMINGS = {
+    "chunks": {},
+    "length": {"has_length": True},
+    "connection": {"unframed": True},
+}
+CUT_EVENTS = [b"i", b"id: 3\nd", b"id: 3\ndata: piece 3\n", b"\n: a\n: b"]
+LAST_BYTES = [b"", b"\n", b"\n\n", b": done\n", b": done\n\n", b"\n: a\n:\n"]
 
 
 def play(scenario, **faults):
@@ -46,3 +54,124 @@
         assert sum(engine.count_runs("s") for engine in fleet.engines) == 1
 
     play(scenario, line_end=line_end, slow_events=EVENT_SECONDS)
+
+
+async def ask(fleet, path=b"/ask/x"):
+    return await fleet.call(path, id="s", method=b"POST", model=True)
+
+
+@pytest.mark.parametrize("cut_event", CUT_EVENTS)
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_a_stream_that_ends_inside_an_event_is_resumed(framing, cut_event):
+    """Review, case 10: chunks or a length made such an end pass for the stream's."""
+
+    async def scenario(fleet):
+        reply = await ask(fleet)
+        assert (reply.status, reply.body) == (200, WHOLE)
+        assert ran(fleet.engines, "s") in (2, 3)
+
+    play(scenario, cuts=1, cut_event=cut_event, **FRAMINGS[framing])
+
+
+@pytest.mark.parametrize("cut_event", CUT_EVENTS)
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_a_stream_that_ends_inside_an_event_is_not_complete(framing, cut_event):
+    """Review, case 10, on a route whose streams may not be resumed."""
+
+    async def scenario(fleet):
+        connection, head = await open_stream(fleet, b"/once/x")
+        assert head.status == 200
+        received = await read_until_cut(connection)
+        assert received == WHOLE[: WHOLE.index(b"id: 3")]
+        assert ran(fleet.engines, "s") == 1
+
+    play(scenario, cuts=1, cut_event=cut_event, **FRAMINGS[framing])
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_an_answer_that_ends_inside_its_first_event_is_no_answer(framing):
+    async def scenario(fleet):
+        assert (await ask(fleet, b"/once/x")).status == 502
+        assert ran(fleet.engines, "s") == 1
+        for engine in fleet.engines:
+            engine.faults.cuts = 1
+        reply = await ask(fleet)
+        assert (reply.status, reply.body) == (200, WHOLE)
+
+    play(scenario, cuts=1, cut_at=0, **FRAMINGS[framing])
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_a_resumed_stream_that_ends_inside_an_event_is_resumed_again(framing):
+    async def scenario(fleet):
+        reply = await ask(fleet)
+        assert (reply.status, reply.body) == (200, WHOLE)
+        assert [engine.count_runs("s") for engine in fleet.engines] in ([1, 2], [2, 1])
+
+    play(scenario, cuts=1, **FRAMINGS[framing])
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_a_stream_whose_answers_all_end_inside_an_event_is_not_complete(framing):
+    async def scenario(fleet):
+        with pytest.raises(ResponseError):
+            await ask(fleet)
+
+    play(scenario, cuts=99, **FRAMINGS[framing])
+
+
+@pytest.mark.parametrize("last_bytes", LAST_BYTES)
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_what_may_follow_the_last_event_leaves_a_stream_complete(
+    framing, line_end, last_bytes
+):
+    """Empty lines and comments belong to no event."""
+
+    async def scenario(fleet):
+        for path in (b"/ask/x", b"/once/x"):
+            reply = await ask(fleet, path)
+            whole = (WHOLE + last_bytes).replace(b"\n", line_end)
+            assert (reply.status, reply.body) == (200, whole)
+        assert ran(fleet.engines, "s") == 2
+
+    options = {"line_end": line_end, "last_bytes": last_bytes, **FRAMINGS[framing]}
+    play(scenario, **options)
+
+
+@pytest.mark.parametrize("framing", ["chunks", "length"])
+def test_an_answer_that_is_no_event_stream_ends_where_its_framing_says(framing):
+    """Only text/event-stream, or no type at all, is judged by its events."""
+
+    async def scenario(fleet):
+        for path in (b"/ask/x", b"/once/x"):
+            reply = await ask(fleet, path)
+            assert (reply.status, reply.body) == (200, b'{"a": 1}')
+        assert ran(fleet.engines, "s") == 2
+
+    options = {"cuts": 9, "cut_at": 0, "cut_event": b'{"a": 1}'}
+    play(scenario, media_type=b"application/json", **options, **FRAMINGS[framing])
+
+
+@pytest.mark.parametrize(
+    "media_type", [b"text/event-stream", b"Text/Event-Stream; a=b"]
+)
+def test_a_named_event_stream_that_ends_inside_an_event_is_not_complete(media_type):
+    async def scenario(fleet):
+        connection, _ = await open_stream(fleet, b"/once/x")
+        await read_until_cut(connection)
+
+    play(scenario, cuts=1, media_type=media_type)
+
+
+@pytest.mark.parametrize("path, status", [(b"/read/x", 200), (b"/write/x", 502)])
+def test_an_event_stream_on_another_route_is_judged_by_its_events(path, status):
+    async def scenario(fleet):
+        for ledger in fleet.ledgers:
+            ledger.faults.cut_answers = 1
+        reply = await fleet.call(path, id="s", method=b"POST")
+        assert reply.status == status
+        assert b"piece" not in reply.body
+        assert ran(fleet.ledgers, "s") == (3 if status == 200 else 1)
+
+    play(scenario)
