Keep a silent answer when the other back end ends inside its first event

A stream whose engine was silent for a while was dropped for another engine that had sent the beginning of an event and then ended its answer: the request ran twice at the first engine, or was cut without a further retry.

Cause: _read_beginning took an answer without a whole event for one that is over, and so for one that has taken the request. Whether its end was that of the stream was asked only once the silent answer was gone. The same check now decides at both places, and for whole answers of safe requests.

--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -215,8 +215,12 @@
         try:
             if is_stream:
                 send.first_events = await self._read_events(send)
+                if not send.first_events and (fault := _fault_of_end(send)):
+                    return self._broken_end(send, fault)
             else:
                 send.body = await send.upstream.read_all()
+                if _is_cut_event_stream(send.head, send.body):
+                    return self._results.unknown(send, "broken", ENDED_INSIDE_EVENT)
         except ResponseError as error:
             send.has_lost_connection = True
             return self._results.unknown(send, "broken", error.message)
@@ -354,11 +358,7 @@
         send.is_complete = True
         if 200 <= head.status < 300 and not head.is_signed:
             return self._results.unknown(send, "broken", "answer without signature")
-        if (
-            head.is_success
-            and head.media_type == EVENT_STREAM
-            and ends_inside_event(body)
-        ):
+        if _is_cut_event_stream(head, body):
             return self._results.unknown(send, "broken", ENDED_INSIDE_EVENT)
         if context.route.kind != STREAM:
             self._fleet.record_begun(context)
@@ -403,14 +403,18 @@
                 send, "silent", "no further event before the timeout"
             )
         if fault := _fault_of_end(send):
-            send.has_lost_connection = not send.upstream.is_reusable
-            return self._results.unknown(send, "broken", fault)
+            return self._broken_end(send, fault)
         send.is_complete = True
         self._write_stream(send, events.partial)
         send.caller.end()
         self._results.log_end(send, "answered", "stream")
         return None
 
+    def _broken_end(self, send, fault):
+        """Record an answer whose end is not that of the stream; return an `Unknown`."""
+        send.has_lost_connection = not send.upstream.is_reusable
+        return self._results.unknown(send, "broken", fault)
+
     @staticmethod
     async def _read_events(send):
         """
@@ -469,6 +473,12 @@
     return ""
 
 
+def _is_cut_event_stream(head, body):
+    """Return whether the whole body of a success is an event stream that was cut."""
+    is_event_stream = head.is_success and head.media_type == EVENT_STREAM
+    return is_event_stream and ends_inside_event(body)
+
+
 async def _receive_now(send, receive, due):
     """Return what ``await receive()`` returns; the time limit is the caller's."""
     return await receive()
--- a/tests/test_streamends.py
+++ b/tests/test_streamends.py
@@ -9,10 +9,12 @@
 
 import pytest
 
+from rosemarypath.clock import now
 from rosemarypath.errors import ResponseError
 from tests.edgefleet import running_fleet
 from tests.test_faultyanswers import open_stream, read_until_cut
 from tests.test_forwarding import WHOLE, ran
+from tests.test_sending import prefer_first_engine, silence
 
 EVENT_SECONDS = 0.2
 LINE_ENDS = [b"\n", b"\r\n", b"\r"]
@@ -175,3 +177,35 @@
         assert ran(fleet.ledgers, "s") == (3 if status == 200 else 1)
 
     play(scenario)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_an_engine_that_ends_inside_its_first_event_has_not_taken_a_stream(framing):
+    """The silent engine was given up for one that had answered nothing whole."""
+
+    async def scenario(fleet):
+        prefer_first_engine(fleet)
+        silence(fleet.engines[:1], "silences")
+        cutting = fleet.engines[1].faults
+        cutting.cuts, cutting.cut_at = 99, 0
+        for name, value in FRAMINGS[framing].items():
+            setattr(cutting, name, value)
+        reply = await ask(fleet)
+        assert (reply.status, reply.body) == (200, WHOLE)
+        assert fleet.engines[0].count_runs("s") == 1
+
+    play(scenario)
+
+
+def test_an_event_stream_that_was_cut_takes_no_request_of_another_route():
+    async def scenario(fleet):
+        states = fleet.daemons[0]._fleet.back_ends.states
+        states[fleet.ledgers[1].name].record_failure(now(), 5.0)
+        silence(fleet.ledgers[:1], "silences")
+        fleet.ledgers[1].faults.cut_answers = 99
+        reply = await fleet.call(b"/read/x", id="s")
+        assert reply.status == 200
+        assert reply.body.startswith(f"answer of {fleet.ledgers[0].name}".encode())
+        assert fleet.ledgers[0].count_runs("s") == 1
+
+    play(scenario)
