Do not end a stream with a resumed answer without framing and events

Callers got two of six events as a complete stream where a replica had broken it off and the next one had ended its connection behind a head that names neither a length nor chunks.

Cause: such an answer is broken off if no event has come, but events were counted over all answers of a stream, so that a resumed one never counted as empty. The events of this answer count now.

--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -468,7 +468,7 @@
     is_event_stream = send.head.media_type in (b"", EVENT_STREAM)
     if send.events.is_inside_event and (is_event_stream or not upstream.is_framed):
         return ENDED_INSIDE_EVENT
-    if not upstream.is_framed and not send.events.event_count:
+    if not upstream.is_framed and not send.has_first_event:
         return "the connection ended before the first event"
     return ""
 
--- a/tests/test_streamends.py
+++ b/tests/test_streamends.py
@@ -209,3 +209,18 @@
         assert fleet.ledgers[0].count_runs("s") == 1
 
     play(scenario)
+
+
+def test_a_resumed_answer_without_length_and_events_is_no_end_of_the_stream():
+    """The events of the answers before counted as its own."""
+
+    async def scenario(fleet):
+        prefer_first_engine(fleet)
+        first, second = (engine.faults for engine in fleet.engines)
+        first.cuts = second.cuts = 1
+        second.unframed, second.cut_at, second.cut_event = True, 0, b""
+        reply = await ask(fleet)
+        assert (reply.status, reply.body) == (200, WHOLE)
+        assert [engine.count_runs("s") for engine in fleet.engines] in ([1, 2], [2, 1])
+
+    play(scenario)
