Reset the connection of a broken answer that only its end would complete

A caller that speaks HTTP/1.0 got the first two events of a broken stream and an orderly end of its connection, which is how a complete answer ends for it.

Cause: its answer has neither a length nor chunks, and AnswerWriter.abort closes the socket, which ends in order unless unread bytes of the caller wait there. Such an answer is now reset (SO_LINGER of zero seconds) if it is dropped before its end or with bytes unsent; others end as before.

--- a/rosemarypath/callers/answerwriter.py
+++ b/rosemarypath/callers/answerwriter.py
@@ -6,12 +6,15 @@
 """
 
 import asyncio
+import socket
+import struct
 from http import HTTPStatus
 
 __all__ = ["AnswerWriter"]
 
 MAX_UNSENT_BYTES = 1024 * 1024  # a caller that reads too slowly is disconnected
 CHUNK_END = b"0\r\n\r\n"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER for zero seconds
 
 
 class AnswerWriter(asyncio.Protocol):
@@ -30,6 +33,7 @@
         self._loop = asyncio.get_running_loop()
         self._reader_wait = None  # set while the caller leaves answers unread
         self._is_chunked = False
+        self._ends_with_connection = False
         self._is_answered = False
         self._is_closing = False
         self.has_answered = False
@@ -65,14 +69,14 @@
         closes = closes or is_last or not request.keep_alive
         lines = [b"HTTP/1.1 %d %b" % (status, _reason_phrase(status))]
         lines += [b"%b: %b" % pair for pair in headers]
-        self._is_chunked = False
+        self._is_chunked = self._ends_with_connection = False
         if content_length is not None:
             lines.append(b"Content-Length: %d" % content_length)
         elif request.accepts_chunked:
             self._is_chunked = True
             lines.append(b"Transfer-Encoding: chunked")
         else:
-            closes = True
+            self._ends_with_connection = closes = True
         if closes:
             lines.append(b"Connection: close")
             request.keep_alive = False
@@ -121,9 +125,21 @@
         self.end()
 
     def abort(self):
-        """Drop the connection at once, so that a partial answer looks incomplete."""
+        """
+        Drop the connection at once, so that a partial answer looks incomplete.
+
+        It is reset where an orderly end would complete the answer.
+        """
+        is_partial = not self._is_answered or self._has_unsent
+        if self._ends_with_connection and is_partial:
+            self._reset_on_close()
         self._transport.abort()
 
+    def _reset_on_close(self):
+        if not self._transport.is_closing():
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     async def _wait_for_reader(self):
         """
         Wait until the caller has read most of the answers; return whether it did.
--- a/tests/test_streamends.py
+++ b/tests/test_streamends.py
@@ -11,6 +11,7 @@
 
 from rosemarypath.clock import now
 from rosemarypath.errors import ResponseError
+from rosemarypath.httpclient import encode_request
 from tests.edgefleet import running_fleet
 from tests.test_faultyanswers import open_stream, read_until_cut
 from tests.test_forwarding import WHOLE, ran
@@ -224,3 +225,36 @@
         assert [engine.count_runs("s") for engine in fleet.engines] in ([1, 2], [2, 1])
 
     play(scenario)
+
+
+async def read_until_end(fleet, path):
+    """Read a stream as HTTP/1.0, whose end is that of the connection."""
+    host, port = fleet.settings[0].callers_address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = encode_request(b"POST", path, fleet.headers(id="s", model=True))
+    writer.write(head.replace(b"HTTP/1.1", b"HTTP/1.0", 1))
+    try:
+        async with asyncio.timeout(3.0):
+            return await reader.read(-1)
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize("fault", ["cuts", "truncates"])
+def test_a_broken_stream_without_framing_ends_with_a_reset(fault):
+    """An orderly end of the connection is the end of such an answer."""
+
+    async def scenario(fleet):
+        with pytest.raises(ConnectionResetError):
+            await read_until_end(fleet, b"/once/x")
+
+    play(scenario, **{fault: 1})
+
+
+def test_a_whole_stream_without_framing_ends_in_order():
+    async def scenario(fleet):
+        for path in (b"/ask/x", b"/once/x"):
+            answer = await read_until_end(fleet, path)
+            assert answer.endswith(b"\r\n\r\n" + WHOLE)
+
+    play(scenario)
