Leave out the byte order mark of a resumed answer

The second answer's mark came between the events of a resumed stream. There it is a part of the next field's name, so that clients ignore the field.

Cause: answers are joined at their events, and a mark belongs to the beginning of an answer. EventSplitter drops it once events were passed on.

--- a/rosemarypath/sse.py
+++ b/rosemarypath/sse.py
@@ -12,6 +12,7 @@
 __all__ = ["EVENT_STREAM", "EventSplitter", "ends_inside_event"]
 
 EVENT_STREAM = b"text/event-stream"  # the media type
+MARK = b"\xef\xbb\xbf"  # byte order mark, which may begin a stream
 # A line ends with CRLF, LF or CR; an empty line ends an event.
 EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|[\r\n])")
 EVENT_ID = re.compile(rb"(?:\A(?:\xef\xbb\xbf)?|[\r\n])id(?:: ?([^\r\n]*))?(?=[\r\n])")
@@ -27,6 +28,7 @@
 
     `last_event_id` is the value of the last field ``id`` of the whole events, `partial`
     the buffered start of the next event, `event_count` the number of whole events.
+    With `drops_mark` a byte order mark is left out, as something comes before it.
 
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 7\\ndata: a\\n\\nid: 8\\nda")
@@ -35,7 +37,8 @@
     (b'7', b'id: 8\\nda')
     """
 
-    def __init__(self, last_event_id=b""):
+    def __init__(self, last_event_id=b"", drops_mark=False):
+        self._drops_mark = drops_mark
         self.last_event_id = last_event_id
         self.partial = b""
         self.event_count = 0
@@ -43,6 +46,9 @@
     def feed(self, data):
         """Append `data` to the buffer; return the whole events and remove them."""
         buffer = self.partial + data if self.partial else data
+        if self._drops_mark:
+            self._drops_mark = len(buffer) < len(MARK)
+            buffer = buffer.removeprefix(MARK)
         end = 0
         # An event end may start in the bytes that were buffered before.
         search_start = max(0, len(self.partial) - MAX_END_BYTES + 1)
@@ -72,7 +78,7 @@
 
     def resumed(self):
         """Return a splitter for the same stream, resumed after its last whole event."""
-        splitter = EventSplitter(self.last_event_id)
+        splitter = EventSplitter(self.last_event_id, drops_mark=self.event_count > 0)
         splitter.event_count = self.event_count
         return splitter
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -75,8 +75,9 @@
       one, `cut_event`, as if it were whole
     - `cut_answers`: answer a plain request with an event stream that is cut so
     - `media_type`: type of the content of streams, none if empty (not a count)
-    - `line_end`, `last_bytes`: end of the lines of streams, and what comes after their
-      last event (not counts)
+    - `line_end`: end of the lines of streams (not a count)
+    - `first_bytes`, `last_bytes`: what comes before the first event of each answer and
+      after the last one (not counts)
     - `deadly_part`: part of a prompt under which the replica crashes after
       `deadly_events` events (not counts)
     - `deadly_request`: path, customer and body of a request under which the replica
@@ -114,6 +115,7 @@
     cut_answers: int = 0
     media_type: bytes = b""
     line_end: bytes = b"\n"
+    first_bytes: bytes = b""
     last_bytes: bytes = b""
     deadly_part: str = ""
     deadly_events: int = 0
@@ -406,6 +408,8 @@
             events[self.faults.cut_at :] = [self.faults.cut_event]
         elif events:
             events[-1] += self.faults.last_bytes
+        if events:
+            events[0] = self.faults.first_bytes + events[0]
         return [event.replace(b"\n", self.faults.line_end) for event in events]
 
     async def _stream(self, connection, headers, request_headers):
--- a/tests/test_sse.py
+++ b/tests/test_sse.py
@@ -59,3 +59,11 @@
     splitter = EventSplitter()
     splitter.feed(b"\xef\xbb\xbfid: 1\ndata: a\n\n")
     assert splitter.last_event_id == b"1"
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 20])
+def test_a_byte_order_mark_is_dropped_however_it_is_cut(size):
+    stream = b"\xef\xbb\xbfid: 1\ndata: a\n\n\xef\xbb\xbfid: 2\n\n"
+    splitter = EventSplitter(drops_mark=True)
+    parts = [stream[n : n + size] for n in range(0, len(stream), size)]
+    assert b"".join(map(splitter.feed, parts)) == stream[3:]
--- a/tests/test_streamends.py
+++ b/tests/test_streamends.py
@@ -18,6 +18,7 @@
 from tests.test_sending import prefer_first_engine, silence
 
 EVENT_SECONDS = 0.2
+MARK = b"\xef\xbb\xbf"  # byte order mark
 LINE_ENDS = [b"\n", b"\r\n", b"\r"]
 FRAMINGS = {
     "chunks": {},
@@ -258,3 +259,15 @@
             assert answer.endswith(b"\r\n\r\n" + WHOLE)
 
     play(scenario)
+
+
+def test_a_byte_order_mark_comes_first_or_not_at_all():
+    """Before a later event it would be a part of its first field."""
+
+    async def scenario(fleet):
+        prefer_first_engine(fleet)
+        fleet.engines[0].faults.cuts = 1
+        reply = await ask(fleet)
+        assert (reply.status, reply.body) == (200, MARK + WHOLE)
+
+    play(scenario, first_bytes=MARK)
