Raise the error of a broken answer where a stream was cut

An engine that had begun on a request was given up, and the request sent anew, as the silent engine before it ended its answer inside an event.

Cause: the takeover waits for the engine that it asks if the answer fails with a ResponseError; a stream that its framing ended raised none. The readers of events and bodies raise it now, so that one way handles all broken answers; the checks move to streamends.py. EventSplitter.drop_partial was not used.

--- a/rosemarypath/sending.py
+++ b/rosemarypath/sending.py
@@ -16,7 +16,7 @@
 from rosemarypath.requestcontext import Send
 from rosemarypath.routing import STREAM
 from rosemarypath.sendresults import SendResults
-from rosemarypath.sse import EVENT_STREAM, ends_inside_event
+from rosemarypath.streamends import find_stream_fault, is_cut_event_stream
 from rosemarypath.takeover import Takeover
 
 __all__ = ["Sender"]
@@ -34,8 +34,8 @@
 UNANSWERED_OFFER_PAUSE_SECONDS = 0.3  # the same if it only did not answer in time
 MAX_SILENCE_SECONDS = 1.8  # longer than a sound engine is silent
 GRANT_SECONDS = 0.5  # for which a send may use its grant
+REMEDY = "try another back end"
 SUPERSEDED = "superseded"  # the silent back end went on before another one answered
-ENDED_INSIDE_EVENT = "the stream ended inside an event"
 
 
 class Sender:
@@ -215,15 +215,10 @@
         try:
             if is_stream:
                 send.first_events = await self._read_events(send)
-                if not send.first_events and (fault := _fault_of_end(send)):
-                    return self._broken_end(send, fault)
             else:
-                send.body = await send.upstream.read_all()
-                if _is_cut_event_stream(send.head, send.body):
-                    return self._results.unknown(send, "broken", ENDED_INSIDE_EVENT)
+                send.body = await self._read_body(send)
         except ResponseError as error:
-            send.has_lost_connection = True
-            return self._results.unknown(send, "broken", error.message)
+            return self._broken_off(send, error)
         return None
 
     def discard_prepared(self, context):
@@ -347,10 +342,9 @@
             async with asyncio.timeout(context.remaining(now())):
                 body = send.body
                 if body is None:
-                    body = await send.upstream.read_all()
+                    body = await self._read_body(send)
         except ResponseError as error:
-            send.has_lost_connection = True
-            return self._results.unknown(send, "broken", error.message)
+            return self._broken_off(send, error)
         except TimeoutError:
             return self._results.unknown(
                 send, "silent", "answer incomplete at the deadline"
@@ -358,8 +352,6 @@
         send.is_complete = True
         if 200 <= head.status < 300 and not head.is_signed:
             return self._results.unknown(send, "broken", "answer without signature")
-        if _is_cut_event_stream(head, body):
-            return self._results.unknown(send, "broken", ENDED_INSIDE_EVENT)
         if context.route.kind != STREAM:
             self._fleet.record_begun(context)
         if head.status >= SERVER_ERROR:
@@ -396,31 +388,38 @@
         except AnswerTooLargeError as error:
             return self._results.unknown(send, "broken", error.message)
         except ResponseError as error:
-            send.has_lost_connection = True
-            return self._results.unknown(send, "broken", error.message)
+            return self._broken_off(send, error)
         except TimeoutError:
             return self._results.unknown(
                 send, "silent", "no further event before the timeout"
             )
-        if fault := _fault_of_end(send):
-            return self._broken_end(send, fault)
         send.is_complete = True
         self._write_stream(send, events.partial)
         send.caller.end()
         self._results.log_end(send, "answered", "stream")
         return None
 
-    def _broken_end(self, send, fault):
-        """Record an answer whose end is not that of the stream; return an `Unknown`."""
+    def _broken_off(self, send, error):
+        """Record an answer that its back end broke off; return an `Unknown`."""
+        # After an answer that its framing ended, the connection may stand.
         send.has_lost_connection = not send.upstream.is_reusable
-        return self._results.unknown(send, "broken", fault)
+        return self._results.unknown(send, "broken", error.message)
+
+    @staticmethod
+    async def _read_body(send):
+        """Return a whole body; raises `ResponseError`, also for a cut stream."""
+        body = await send.upstream.read_all()
+        if is_cut_event_stream(send.head, body):
+            raise ResponseError("the body ended inside an event", REMEDY)
+        return body
 
     @staticmethod
     async def _read_events(send):
         """
         Return the next whole events, empty at the end of the stream.
 
-        Bytes that end no event are kept. Raises `ResponseError`.
+        Bytes that end no event are kept. Raises `ResponseError`, also where the answer
+        ended but not the stream.
         """
         while data := await send.upstream.read():
             complete_events = send.events.feed(data)
@@ -431,6 +430,8 @@
                 )
             if complete_events:
                 return complete_events
+        if fault := find_stream_fault(send):
+            raise ResponseError(fault, REMEDY)
         return b""
 
     def _pass_on(self, send, complete_events):
@@ -458,27 +459,6 @@
             send.caller.write(data)
 
 
-def _fault_of_end(send):
-    """
-    Return why the answer of a stream is not whole where it has ended, or ``""``.
-
-    Its framing may be whole where the back end broke off.
-    """
-    upstream = send.upstream
-    is_event_stream = send.head.media_type in (b"", EVENT_STREAM)
-    if send.events.is_inside_event and (is_event_stream or not upstream.is_framed):
-        return ENDED_INSIDE_EVENT
-    if not upstream.is_framed and not send.has_first_event:
-        return "the connection ended before the first event"
-    return ""
-
-
-def _is_cut_event_stream(head, body):
-    """Return whether the whole body of a success is an event stream that was cut."""
-    is_event_stream = head.is_success and head.media_type == EVENT_STREAM
-    return is_event_stream and ends_inside_event(body)
-
-
 async def _receive_now(send, receive, due):
     """Return what ``await receive()`` returns; the time limit is the caller's."""
     return await receive()
--- a/rosemarypath/sse.py
+++ b/rosemarypath/sse.py
@@ -82,10 +82,6 @@
         splitter.event_count = self.event_count
         return splitter
 
-    def drop_partial(self):
-        """Drop the buffered partial event, before the stream is resumed."""
-        self.partial = b""
-
 
 def ends_inside_event(stream):
     """
--- a/tests/test_streamends.py
+++ b/tests/test_streamends.py
@@ -271,3 +271,24 @@
         assert (reply.status, reply.body) == (200, MARK + WHOLE)
 
     play(scenario, first_bytes=MARK)
+
+
+def test_a_stream_cut_while_another_engine_is_asked_is_resumed_there():
+    """The other engine was given up, and asked anew, though it had begun."""
+
+    async def scenario(fleet):
+        prefer_first_engine(fleet)
+        first, second = fleet.engines
+        silence([first], "silences")
+        silence([second], "late_begins", 0.2)
+        task = asyncio.ensure_future(ask(fleet))
+        await fleet.until(lambda: second.count_runs("s") == 1)
+        for connection in first._listener.connections:
+            if connection.is_busy:
+                connection.write(b"id: 3\nd")
+                connection.end()
+        reply = await task
+        assert (reply.status, reply.body) == (200, WHOLE)
+        assert [engine.count_runs("s") for engine in fleet.engines] == [1, 1]
+
+    play(scenario)
