--- a/tests/test_sse.py
+++ b/tests/test_sse.py
@@ -8,7 +8,7 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from rosemarypath.sse import EventSplitter
+from rosemarypath.sse import EventSplitter, ends_inside_event
 
 LINE_ENDS = (b"\n", b"\r\n", b"\r")
 LINES = st.sampled_from([b"id: 7", b"id", b"data: a", b"data", b": note", b"id:8"])
@@ -26,6 +26,16 @@
     return events, data, sorted({0, len(data), *cuts})
 
 
+def is_open(data):
+    """Return whether an event or a line is open at the end, read line by line."""
+    text = data.decode().removeprefix("\ufeff").replace("\r\n", "\n")
+    *lines, rest = text.replace("\r", "\n").split("\n")
+    has_field = False
+    for line in lines:
+        has_field = bool(line) and (has_field or not line.startswith(":"))
+    return has_field or bool(rest)
+
+
 def last_id(events):
     """Return the last identifier that the events set."""
     values = {b"id: 7": b"7", b"id": b"", b"id:8": b"8"}
@@ -67,3 +77,11 @@
     splitter = EventSplitter(drops_mark=True)
     parts = [stream[n : n + size] for n in range(0, len(stream), size)]
     assert b"".join(map(splitter.feed, parts)) == stream[3:]
+
+
+@given(streams(), st.sampled_from([b"", b"\xef\xbb\xbf"]))
+def test_an_event_is_open_where_the_standard_says_so(drawn, mark):
+    _, data, _ = drawn
+    stream = mark + data
+    for end in range(len(mark), len(stream) + 1):
+        assert ends_inside_event(stream[:end]) == is_open(stream[:end])
--- a/tests/test_streamends.py
+++ b/tests/test_streamends.py
@@ -292,3 +292,30 @@
         assert [engine.count_runs("s") for engine in fleet.engines] == [1, 1]
 
     play(scenario)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_a_stream_is_complete_only_if_it_ends_between_events(framing):
+    """One stream for each byte at which it may end."""
+
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.faults.slow_events = 0.0
+        for end in range(1, len(WHOLE)):
+            for engine in fleet.engines:
+                engine.faults.cuts, engine.faults.cut_at = 1, 0
+                engine.faults.cut_event = WHOLE[:end]
+            received = b""
+            connection, head = await open_stream(fleet, b"/once/x")
+            try:
+                while data := await connection.read():
+                    received += data
+            except ResponseError:
+                assert WHOLE[:end].startswith(received)
+                assert not WHOLE[:end].endswith(b"\n\n")
+            else:
+                assert (head.status == 200) == WHOLE[:end].endswith(b"\n\n")
+                assert received == (WHOLE[:end] if head.status == 200 else b"")
+            connection.abort()
+
+    play(scenario, **FRAMINGS[framing])
