--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -383,8 +383,8 @@
             await lab.store.start()
             async with asyncio.timeout(seconds):
                 return HELD if await play(lab) else BROKEN
-        except (CannotRunError, OSError, TimeoutError) as error:
-            lab.note(f"cannot run: {error!r}")
+        except Exception as error:  # A fault of the script shows nothing.
+            lab.note(f"cannot run: {type(error).__name__}: {error}")
             return NOT_RUN
         finally:
             await lab.close()
