--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -378,11 +378,17 @@
     """Play a case: ``await play(lab)`` returns whether the rule held."""
 
     async def main():
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         lab = Lab(folder, daemons, seconds)
         try:
             await lab.store.start()
             async with asyncio.timeout(seconds):
                 return HELD if await play(lab) else BROKEN
+        except asyncio.CancelledError:
+            lab.note("ended by a signal")
+            return NOT_RUN
         except Exception as error:  # A fault of the script shows nothing.
             lab.note(f"cannot run: {type(error).__name__}: {error}")
             return NOT_RUN
